--- a/crates/landingvalve-platform/src/bin/landingvalve-standin.rs
+++ b/crates/landingvalve-standin/src/bin/landingvalve-standin.rs
@@ -13,9 +13,9 @@
 use landingvalve::vms::Role;
 use landingvalve::vms::Stay;
 use landingvalve::vms::Vm;
-use landingvalve_platform::Endpoint;
-use landingvalve_platform::Store;
-use landingvalve_platform::Vms;
+use landingvalve_standin::Endpoint;
+use landingvalve_standin::Store;
+use landingvalve_standin::Vms;
 use serde_json::json;
 
 /// Serves a stand-in platform.
--- /dev/null
+++ b/src/cell/admission.rs
@@ -0,0 +1,258 @@
+//! Taking jobs in, cancelling them, and saying how they stand.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::cell::keys;
+use crate::cell::pause;
+use crate::graph;
+use crate::graph::Id;
+use crate::graph::Job;
+use crate::graph::Outcome;
+use crate::graph::Progress;
+use crate::store::Compare;
+use crate::store::Error;
+use crate::store::Put;
+use crate::store::Store;
+use crate::store::Swap;
+
+/// How long a store that turns calls away is asked again before a job is
+/// refused: the caller is told at once when to come back.
+const PATIENCE: Duration = Duration::from_millis(600);
+/// How long is waited before the store is asked again.
+const AGAIN: Duration = Duration::from_millis(60);
+/// How long an unanswered write is remembered: longer than a late write
+/// can take.
+const REMEMBERED: Duration = Duration::from_secs(60);
+
+/// What came of a submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Submitted {
+    /// The job is kept, now or since an earlier submission.
+    Accepted,
+    /// It is not kept, and this submission will not make it so.
+    Refused,
+    /// It may be kept: the caller must ask again under the same name.
+    Unsure,
+}
+
+/// How far a job has come, for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// None of its tasks has begun.
+    Queued,
+    /// A task has begun.
+    Running,
+    /// It has ended.
+    Ended(Outcome),
+}
+
+/// The store does not answer in time.
+#[derive(Debug, thiserror::Error)]
+#[error("the store does not answer: {0}")]
+pub struct Unavailable(String);
+
+/// Takes jobs in.
+#[derive(Clone, Debug)]
+pub struct Admission<S> {
+    store: S,
+    /// Jobs whose write had no answer here, and when.
+    unsure: Arc<Mutex<HashMap<Id, Instant>>>,
+    log: slog::Logger,
+}
+
+impl<S: Store> Admission<S> {
+    /// Returns an admission on a store.
+    pub fn new(store: S, log: slog::Logger) -> Admission<S> {
+        Admission {
+            store,
+            unsure: Arc::default(),
+            log,
+        }
+    }
+
+    /// Keeps a job, unless it is kept already.
+    pub async fn submit(&self, job: &Job, deadline: Instant) -> Submitted {
+        let submitted = match serde_json::to_vec(job) {
+            Ok(value) => self.create(job, value, deadline).await,
+            Err(error) => {
+                slog::error!(self.log, "entry: a job cannot be encoded";
+                    "job" => &*job.id, "error" => %error);
+                Submitted::Refused
+            }
+        };
+        slog::info!(self.log, "entry: a job was submitted";
+            "job" => &*job.id, "queue" => &*job.queue,
+            "account" => &*job.account, "outcome" => ?submitted);
+        submitted
+    }
+
+    async fn create(
+        &self,
+        job: &Job,
+        value: Vec<u8>,
+        deadline: Instant,
+    ) -> Submitted {
+        let key = keys::job(&job.id);
+        let absent = [Compare::Modified(key.clone(), 0)];
+        let puts = vec![
+            Put::Value(key, value, 0),
+            Put::Value(keys::waits(&job.queue, &job.id), Vec::new(), 0),
+        ];
+        let patience = (Instant::now() + PATIENCE).min(deadline);
+        loop {
+            let swap = self.store.swap(&absent, puts.clone());
+            let until = match self.is_unsure(&job.id) {
+                true => deadline,
+                false => patience,
+            };
+            match tokio::time::timeout_at(deadline, swap).await {
+                Ok(Ok(Swap::Written(_) | Swap::Refused(_))) => {
+                    return Submitted::Accepted;
+                }
+                Ok(Err(Error::Unreached(_))) if Instant::now() < until => {}
+                Ok(Err(Error::Unreached(error))) => {
+                    slog::warn!(self.log, "entry: the store turns a job away";
+                        "job" => &*job.id, "error" => %error);
+                    return match self.is_unsure(&job.id) {
+                        true => Submitted::Unsure,
+                        false => Submitted::Refused,
+                    };
+                }
+                Ok(Err(Error::Lost(_) | Error::Forgotten(_)))
+                    if Instant::now() + AGAIN * 2 < deadline =>
+                {
+                    self.set_unsure(&job.id);
+                }
+                Ok(Err(_)) | Err(_) => {
+                    self.set_unsure(&job.id);
+                    return Submitted::Unsure;
+                }
+            }
+            pause(AGAIN).await;
+        }
+    }
+
+    /// Cancels a job; returns whether it is known.
+    ///
+    /// # Errors
+    ///
+    /// If the store does not answer before the deadline.
+    pub async fn cancel(
+        &self,
+        id: &str,
+        deadline: Instant,
+    ) -> Result<bool, Unavailable> {
+        let known = self.read(&keys::job(id), deadline).await?;
+        if known.is_none() {
+            return Ok(false);
+        }
+        let key = keys::cancel(id);
+        let absent = [Compare::Modified(key.clone(), 0)];
+        loop {
+            let puts = vec![Put::Value(key.clone(), b"{}".to_vec(), 0)];
+            let swap = self.store.swap(&absent, puts);
+            match tokio::time::timeout_at(deadline, swap).await {
+                Ok(Ok(_)) => break,
+                Ok(Err(error)) => again(error, deadline).await?,
+                Err(_) => return Err(Unavailable("in time".to_owned())),
+            }
+        }
+        slog::info!(self.log, "entry: a job is cancelled"; "job" => id);
+        Ok(true)
+    }
+
+    /// Returns how far a job has come, if it is known.
+    ///
+    /// # Errors
+    ///
+    /// If the store does not answer before the deadline.
+    pub async fn stage(
+        &self,
+        id: &str,
+        deadline: Instant,
+    ) -> Result<Option<Stage>, Unavailable> {
+        let progress = self.read(&keys::progress(id), deadline).await?;
+        let progress = progress
+            .map(|value| serde_json::from_slice::<Progress>(&value))
+            .transpose()
+            .map_err(|error| Unavailable(error.to_string()))?;
+        let outcome = progress.as_ref().and_then(|p| p.outcome);
+        if let Some(outcome) = outcome {
+            return Ok(Some(Stage::Ended(outcome)));
+        }
+        let cancel = keys::cancel(id);
+        if self.read(&cancel, deadline).await?.is_some() {
+            return Ok(Some(Stage::Ended(Outcome::Cancelled)));
+        }
+        if progress.is_some() {
+            return Ok(Some(Stage::Running));
+        }
+        let job = self.read(&keys::job(id), deadline).await?;
+        Ok(job.map(|_| Stage::Queued))
+    }
+
+    /// Returns how many jobs of a queue have not begun.
+    ///
+    /// # Errors
+    ///
+    /// If the store does not answer before the deadline.
+    pub async fn pending(
+        &self,
+        queue: &str,
+        deadline: Instant,
+    ) -> Result<usize, Unavailable> {
+        let prefix = keys::waiting(queue);
+        loop {
+            let list = self.store.list(&prefix);
+            match tokio::time::timeout_at(deadline, list).await {
+                Ok(Ok(listing)) => return Ok(listing.items.len()),
+                Ok(Err(error)) => again(error, deadline).await?,
+                Err(_) => return Err(Unavailable("in time".to_owned())),
+            }
+        }
+    }
+
+    async fn read(
+        &self,
+        key: &str,
+        deadline: Instant,
+    ) -> Result<Option<Vec<u8>>, Unavailable> {
+        loop {
+            let get = self.store.get(key);
+            match tokio::time::timeout_at(deadline, get).await {
+                Ok(Ok(item)) => return Ok(item.map(|item| item.value)),
+                Ok(Err(error)) => again(error, deadline).await?,
+                Err(_) => return Err(Unavailable("in time".to_owned())),
+            }
+        }
+    }
+
+    fn is_unsure(&self, id: &graph::Id) -> bool {
+        let unsure = self.unsure.lock();
+        let unsure = unsure.unwrap_or_else(PoisonError::into_inner);
+        unsure.contains_key(id)
+    }
+
+    fn set_unsure(&self, id: &graph::Id) {
+        let now = Instant::now();
+        let unsure = self.unsure.lock();
+        let mut unsure = unsure.unwrap_or_else(PoisonError::into_inner);
+        unsure.retain(|_, since| now < *since + REMEMBERED);
+        unsure.insert(id.clone(), now);
+    }
+}
+
+/// Waits before a call is made again, if there is time for it.
+async fn again(error: Error, deadline: Instant) -> Result<(), Unavailable> {
+    if Instant::now() + AGAIN * 2 >= deadline {
+        return Err(Unavailable(error.to_string()));
+    }
+    pause(AGAIN).await;
+    Ok(())
+}
--- /dev/null
+++ b/src/cell/claim.rs
@@ -0,0 +1,141 @@
+//! Who plans: a key under a lease, whose revision is the fencing token.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::cell::keys;
+use crate::store::Compare;
+use crate::store::Error;
+use crate::store::Item;
+use crate::store::LeaseId;
+use crate::store::Put;
+use crate::store::Revision;
+use crate::store::Store;
+use crate::store::Swap;
+
+/// How long a claim holds without renewal. Short, since nothing new starts
+/// until another may claim; long against the store's slowest answers.
+pub const TTL: Duration = Duration::from_millis(2000);
+/// How often it is renewed.
+pub const RENEW: Duration = Duration::from_millis(500);
+/// How long a call for a renewal may take.
+const CALL: Duration = Duration::from_millis(900);
+
+/// The value of the claim's key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// The process's name.
+    pub process: String,
+    /// Where agents reach its planner.
+    pub address: String,
+    /// The life of the process, drawn anew at each start.
+    pub life: String,
+}
+
+/// A claim that this process holds.
+#[derive(Clone, Debug)]
+pub struct Claim {
+    /// The revision at which it was made: the key is written only then.
+    pub token: Revision,
+    /// The lease it hangs on.
+    pub lease: LeaseId,
+    /// Until when it surely holds.
+    valid: Arc<Mutex<Instant>>,
+}
+
+impl Claim {
+    /// Returns a claim that holds until `valid`.
+    pub fn new(token: Revision, lease: LeaseId, valid: Instant) -> Claim {
+        Claim {
+            token,
+            lease,
+            valid: Arc::new(Mutex::new(valid)),
+        }
+    }
+
+    /// Returns whether it surely holds now.
+    pub fn holds(&self) -> bool {
+        Instant::now() < self.valid_until()
+    }
+
+    /// Returns until when it surely holds.
+    pub fn valid_until(&self) -> Instant {
+        *self.valid.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the condition that it is still held, for writes.
+    pub fn condition(&self) -> Compare {
+        Compare::Modified(keys::PLANNER.to_owned(), self.token)
+    }
+
+    /// Renews it once; returns whether it may still be held.
+    pub async fn renew(&self, store: &impl Store) -> bool {
+        // Counted from before the call: the lease began later.
+        let sent = Instant::now();
+        let call = tokio::time::timeout(CALL, store.keep_alive(self.lease));
+        match call.await {
+            Ok(Ok(true)) => {
+                let mut valid =
+                    self.valid.lock().unwrap_or_else(PoisonError::into_inner);
+                *valid = (*valid).max(sent + TTL);
+                true
+            }
+            Ok(Ok(false)) => false,
+            Ok(Err(_)) | Err(_) => self.holds(),
+        }
+    }
+}
+
+/// What a try to claim has shown.
+#[derive(Clone, Debug)]
+pub enum Tried {
+    /// This process holds the claim.
+    Held(Claim),
+    /// Another does, or may; as of this revision.
+    Other(Revision),
+}
+
+/// Tries to claim.
+///
+/// # Errors
+///
+/// If the store does not answer.
+pub async fn try_claim(
+    store: &impl Store,
+    holder: &Holder,
+) -> Result<Tried, Error> {
+    let current = store.get(keys::PLANNER).await?;
+    let condition = match &current {
+        None => Compare::Modified(keys::PLANNER.to_owned(), 0),
+        // An earlier life of this very process is over.
+        Some(item) if is_earlier(item, holder) => {
+            Compare::Modified(keys::PLANNER.to_owned(), item.modified)
+        }
+        Some(item) => return Ok(Tried::Other(item.modified)),
+    };
+    let sent = Instant::now();
+    let lease = store.grant(TTL).await?;
+    let value = serde_json::to_vec(holder).unwrap_or_default();
+    let puts = vec![Put::Value(keys::PLANNER.to_owned(), value, lease)];
+    match store.swap(&[condition], puts).await {
+        Ok(Swap::Written(token)) => {
+            Ok(Tried::Held(Claim::new(token, lease, sent + TTL)))
+        }
+        Ok(Swap::Refused(items)) => {
+            let seen = items.first().map_or(0, |item| item.modified);
+            Ok(Tried::Other(seen))
+        }
+        Err(error) => Err(error),
+    }
+}
+
+fn is_earlier(item: &Item, holder: &Holder) -> bool {
+    serde_json::from_slice::<Holder>(&item.value)
+        .is_ok_and(|current| current.process == holder.process)
+}
--- /dev/null
+++ b/src/cell/configuration.rs
@@ -0,0 +1,186 @@
+//! The operators' configuration, and how old our knowledge of it is.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::cell::pause;
+use crate::graph::Advice;
+use crate::graph::Text;
+use crate::store::Item;
+use crate::store::Revision;
+use crate::store::Store;
+
+/// How often the configuration is read while nothing changes.
+const EVERY: Duration = Duration::from_millis(500);
+/// How long one read may take before it is made again.
+const CALL: Duration = Duration::from_millis(1200);
+/// How long is waited after a read that failed.
+const AGAIN: Duration = Duration::from_millis(120);
+
+/// A queue that callers put jobs in.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Queue {
+    /// Its name.
+    pub name: Text,
+    /// The host that callers name.
+    pub host: Text,
+    /// What the paths of its jobs start with.
+    pub prefix: Text,
+    /// The pool whose workers run its jobs.
+    pub pool: Text,
+    /// Whether workers of the pool refuse what does not fit.
+    pub guarded: bool,
+    /// The lower, the sooner.
+    pub priority: u32,
+    /// How many of a unit's runs may fail.
+    pub max_attempts: u32,
+    /// How many times its longest chain of work a job may take.
+    pub stretch: f64,
+    /// What it may take beyond that.
+    pub target: Duration,
+    /// The longest that a call may take.
+    pub timeout: Duration,
+    /// Whether callers need no key.
+    pub anonymous: bool,
+    /// Whose leave starts need, if anybody's.
+    pub advice: Option<Advice>,
+}
+
+/// A whole configuration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Configuration {
+    /// Its version; it rises.
+    pub version: u64,
+    /// The queues.
+    pub queues: Vec<Arc<Queue>>,
+    /// The client account of each key.
+    pub keys: HashMap<String, Text>,
+    /// The accelerators that each client account is guaranteed.
+    pub guarantees: BTreeMap<Text, i64>,
+    /// The longest body of a request, in bytes.
+    pub max_body: usize,
+}
+
+impl Configuration {
+    /// Returns the queue of a path: the longest prefix wins.
+    pub fn queue(&self, host: &str, path: &str) -> Option<&Arc<Queue>> {
+        self.queues
+            .iter()
+            .filter(|q| &*q.host == host && path.starts_with(&*q.prefix))
+            .max_by_key(|q| q.prefix.len())
+    }
+}
+
+/// What is known of the configuration.
+#[derive(Debug, Default)]
+struct Known {
+    current: Option<Arc<Configuration>>,
+    revision: Revision,
+    /// When the last read that showed it to be current was sent.
+    confirmed: Option<Instant>,
+}
+
+/// The configuration as this process knows it; it never goes back.
+#[derive(Clone, Debug, Default)]
+pub struct Source {
+    known: Arc<Mutex<Known>>,
+}
+
+impl Source {
+    /// Returns a source that knows nothing yet.
+    pub fn new() -> Source {
+        Source::default()
+    }
+
+    /// Returns the configuration, if one is known.
+    pub fn current(&self) -> Option<Arc<Configuration>> {
+        self.lock().current.clone()
+    }
+
+    /// Returns the configuration if it was current at most `age` ago.
+    pub fn fresh(&self, age: Duration) -> Option<Arc<Configuration>> {
+        let known = self.lock();
+        let confirmed = known.confirmed?;
+        match confirmed.elapsed() <= age {
+            true => known.current.clone(),
+            false => None,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Keeps the configuration up to date, for ever.
+    pub async fn follow<E: std::fmt::Display>(
+        self,
+        store: impl Store,
+        key: &str,
+        decode: impl Fn(&[u8]) -> Result<Configuration, E>,
+        log: slog::Logger,
+    ) {
+        let mut reached = true;
+        loop {
+            let sent = Instant::now();
+            let get = tokio::time::timeout(CALL, store.get(key));
+            let failed = match get.await {
+                Ok(Ok(item)) => {
+                    self.take(item, sent, &decode, &log);
+                    None
+                }
+                Ok(Err(error)) => Some(error.to_string()),
+                Err(_) => Some("no answer in time".to_owned()),
+            };
+            match (&failed, reached) {
+                (Some(error), true) => slog::warn!(log,
+                    "configuration: the store is lost"; "error" => error),
+                (None, false) => {
+                    slog::info!(log, "configuration: the store is back")
+                }
+                _ => {}
+            }
+            reached = failed.is_none();
+            match reached {
+                true => tokio::time::sleep(EVERY).await,
+                false => pause(AGAIN).await,
+            }
+        }
+    }
+
+    fn take<E: std::fmt::Display>(
+        &self,
+        item: Option<Item>,
+        sent: Instant,
+        decode: &impl Fn(&[u8]) -> Result<Configuration, E>,
+        log: &slog::Logger,
+    ) {
+        let Some(item) = item else {
+            return;
+        };
+        let mut known = self.lock();
+        if item.modified <= known.revision {
+            known.confirmed = Some(sent);
+            return;
+        }
+        match decode(&item.value) {
+            Ok(configuration) => {
+                slog::info!(log, "configuration: a version is in force";
+                    "version" => configuration.version,
+                    "revision" => item.modified);
+                known.current = Some(Arc::new(configuration));
+                known.revision = item.modified;
+                known.confirmed = Some(sent);
+            }
+            Err(error) => slog::error!(log,
+                "configuration: a version cannot be read";
+                "revision" => item.modified, "error" => %error),
+        }
+    }
+}
--- /dev/null
+++ b/src/cell/keys.rs
@@ -0,0 +1,60 @@
+//! The keys of a cell in the store.
+//!
+//! | key | written by | when |
+//! |---|---|---|
+//! | `lv/planner` | entries | a claim, under a lease |
+//! | `lv/in/ID/job` | entries | a job is accepted |
+//! | `lv/in/ID/cancel` | entries | a job is cancelled |
+//! | `lv/queue/QUEUE/ID` | entries, planner | accepted, until it begins |
+//! | `lv/progress/ID` | planner | a run is given out, or has ended |
+
+/// The claim of the planner.
+pub const PLANNER: &str = "lv/planner";
+/// Everything that entries tell the planner.
+pub const INTAKE: &str = "lv/in/";
+/// Everything that planners keep of jobs.
+pub const PROGRESS: &str = "lv/progress/";
+
+/// Returns the key of an accepted job.
+pub fn job(id: &str) -> String {
+    format!("{INTAKE}{id}/job")
+}
+
+/// Returns the key of a job's cancellation.
+pub fn cancel(id: &str) -> String {
+    format!("{INTAKE}{id}/cancel")
+}
+
+/// Returns the key of a job's progress.
+pub fn progress(id: &str) -> String {
+    format!("{PROGRESS}{id}")
+}
+
+/// Returns what the keys of a queue's waiting jobs start with.
+pub fn waiting(queue: &str) -> String {
+    format!("lv/queue/{queue}/")
+}
+
+/// Returns the key that says that a job waits.
+pub fn waits(queue: &str, id: &str) -> String {
+    format!("lv/queue/{queue}/{id}")
+}
+
+/// What an entry tells the planner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Intake<'a> {
+    /// A job is accepted.
+    Job(&'a str),
+    /// A job is cancelled.
+    Cancel(&'a str),
+}
+
+/// Returns what a key below [`INTAKE`] is about.
+pub fn intake(key: &str) -> Option<Intake<'_>> {
+    let (id, what) = key.strip_prefix(INTAKE)?.split_once('/')?;
+    match what {
+        "job" => Some(Intake::Job(id)),
+        "cancel" => Some(Intake::Cancel(id)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/cell/member/act.rs
@@ -0,0 +1,189 @@
+//! Doing what is ordered.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::cell::member::state::Key;
+use crate::cell::member::state::Progress;
+use crate::cell::member::Member;
+use crate::cell::pause;
+use crate::cell::worker::Call;
+use crate::cell::worker::Error;
+use crate::cell::worker::Worker;
+use crate::cell::worker::WorkerTime;
+use crate::graph::Refusal;
+use crate::graph::Start;
+use crate::graph::Stop;
+use crate::store::Store;
+
+/// How long the answer to an order is waited for.
+const ANSWER: Duration = Duration::from_millis(500);
+/// How long is waited before an order without answer is given again.
+const AGAIN: Duration = Duration::from_millis(150);
+
+/// The next call for an order.
+enum Next {
+    Start(Call, Box<Start>, WorkerTime),
+    Stop(Call),
+    /// There is no leave to start yet.
+    Wait,
+    /// The order was withdrawn, or is done.
+    Nothing,
+}
+
+impl<W: Worker, S: Store> Member<W, S> {
+    /// Carries an order out until it is done or withdrawn.
+    pub(super) fn act(&self, key: Key) {
+        let member = self.clone();
+        tokio::spawn(async move { member.carry_out(&key).await });
+    }
+
+    async fn carry_out(&self, key: &Key) {
+        loop {
+            let done = match self.next(key) {
+                Next::Start(call, start, expires) => {
+                    self.start(&call, &start, expires, key).await
+                }
+                Next::Stop(call) => self.stop(&call, key).await,
+                Next::Wait => false,
+                Next::Nothing => return,
+            };
+            if done {
+                return;
+            }
+            pause(AGAIN).await;
+        }
+    }
+
+    fn next(&self, key: &Key) -> Next {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let target = state.target(self.0.config.lease, now);
+        let token = state.token;
+        let Some(known) = &mut state.worker else {
+            return Next::Nothing;
+        };
+        let call = Call {
+            life: known.beat.life.clone(),
+            token,
+        };
+        match known.progress.get(key) {
+            Some(Progress::Stopping) if known.stops.contains(key) => {
+                return Next::Stop(call);
+            }
+            Some(Progress::Starting) if known.starts.contains_key(key) => {}
+            Some(Progress::Starting | Progress::Stopping) => {
+                // Withdrawn: if it is ordered again, it begins anew.
+                known.progress.remove(key);
+                return Next::Nothing;
+            }
+            _ => return Next::Nothing,
+        }
+        let expires = target.and_then(|target| known.time_at(target));
+        match (known.starts.get(key), expires) {
+            (Some(start), Some(expires)) => {
+                let start = Box::new(start.clone());
+                known.leased = known.leased.max(target);
+                Next::Start(call, start, expires)
+            }
+            _ => Next::Wait,
+        }
+    }
+
+    async fn start(
+        &self,
+        call: &Call,
+        start: &Start,
+        expires: WorkerTime,
+        key: &Key,
+    ) -> bool {
+        if self.leaves(call) {
+            return self.refuse(call, key, Refusal::Leaving);
+        }
+        let answer = self.0.worker.start(call, start, expires);
+        let answer = tokio::time::timeout(ANSWER, answer).await;
+        slog::info!(self.0.config.log, "agent: a start was ordered";
+            "task" => %key.0, "run" => key.1, "life" => &*call.life,
+            "token" => call.token, "outcome" => ?answer);
+        match answer {
+            Ok(Ok(_)) => {
+                let mut state = self.lock();
+                let known = state.worker.as_mut();
+                let known = known.filter(|k| k.beat.life == call.life);
+                let progress = known.and_then(|k| k.progress.get_mut(key));
+                if let Some(progress @ Progress::Starting) = progress {
+                    *progress = Progress::Started;
+                }
+                true
+            }
+            Ok(Err(Error::Refused(why))) => self.refuse(call, key, why),
+            Ok(Err(Error::Late(time))) => {
+                let mut state = self.lock();
+                if let Some(known) = &mut state.worker {
+                    known.clock = Some((time, Instant::now()));
+                }
+                false
+            }
+            Ok(Err(Error::Fenced)) => {
+                self.lock().fenced = true;
+                self.0.news.notify_one();
+                false
+            }
+            Ok(Err(Error::OtherLife | Error::Lost(_))) | Err(_) => false,
+        }
+    }
+
+    async fn stop(&self, call: &Call, key: &Key) -> bool {
+        let stop = Stop {
+            task: key.0.clone(),
+            run: key.1,
+        };
+        let answer = self.0.worker.stop(call, &stop);
+        let answer = tokio::time::timeout(ANSWER, answer).await;
+        slog::info!(self.0.config.log, "agent: a stop was ordered";
+            "task" => %key.0, "run" => key.1, "life" => &*call.life,
+            "token" => call.token, "outcome" => ?answer);
+        match answer {
+            Ok(Ok(_) | Err(Error::Refused(Refusal::Barred))) => {
+                self.refuse(call, key, Refusal::Barred)
+            }
+            Ok(Err(Error::Fenced)) => {
+                self.lock().fenced = true;
+                self.0.news.notify_one();
+                false
+            }
+            Ok(Err(_)) | Err(_) => false,
+        }
+    }
+
+    fn leaves(&self, call: &Call) -> bool {
+        let state = self.lock();
+        state.worker.as_ref().is_some_and(|known| {
+            known.beat.life == call.life && known.beat.leaving
+        })
+    }
+
+    /// Notes that a run will not begin here, once a look does not show it.
+    fn refuse(&self, call: &Call, key: &Key, why: Refusal) -> bool {
+        let mut state = self.lock();
+        let known = state.worker.as_mut();
+        let known = known.filter(|known| known.beat.life == call.life);
+        let Some(known) = known else {
+            return true;
+        };
+        if why != Refusal::Barred && known.stops.contains(key) {
+            // A stop was ordered meanwhile, and sees to it.
+            return true;
+        }
+        let look = known.looks + 1;
+        let refused = Progress::Refused {
+            why,
+            look,
+            sure: false,
+        };
+        known.progress.insert(key.clone(), refused);
+        self.0.look.notify_one();
+        true
+    }
+}
--- /dev/null
+++ b/src/cell/member/state.rs
@@ -0,0 +1,403 @@
+//! What an agent knows and has done.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::cell::member::Config;
+use crate::cell::member::Heartbeat;
+use crate::cell::worker::Call;
+use crate::cell::worker::Look;
+use crate::cell::worker::WorkerTime;
+use crate::graph::Lists;
+use crate::graph::Orders;
+use crate::graph::Refusal;
+use crate::graph::Refused;
+use crate::graph::Report;
+use crate::graph::Run;
+use crate::graph::Start;
+use crate::graph::Stop;
+use crate::graph::Task;
+use crate::graph::WorkerReport;
+use crate::store::Revision;
+
+/// How much longer than its lease a worker may run: its clock may be 2%
+/// slow over 6 s, and an end takes a moment.
+const LEASE_SLACK: Duration = Duration::from_millis(400);
+/// For how long a worker must not answer before its life is taken for over.
+const SILENT: Duration = Duration::from_millis(1500);
+/// The least rest of a grant under which a task is still started.
+const LEAST_LEASE: Duration = Duration::from_millis(400);
+
+/// A run of a task.
+pub type Key = (Task, Run);
+
+/// How far an order has come.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Progress {
+    /// It is being started; an order to stop it waits for nothing.
+    Starting,
+    /// The worker has started it.
+    Started,
+    /// It is being stopped.
+    Stopping,
+    /// The worker has refused it, or barred it; true only once a look that
+    /// began later does not list it.
+    Refused {
+        /// Why.
+        why: Refusal,
+        /// The first look that counts.
+        look: u64,
+        /// Whether such a look has come.
+        sure: bool,
+    },
+}
+
+/// What is known of the worker.
+#[derive(Clone, Debug)]
+pub struct Known {
+    pub beat: Heartbeat,
+    /// Until when it stays at least, while it is leaving.
+    pub stays: Option<Instant>,
+    /// Its time, and when we had it: it was then no earlier.
+    pub clock: Option<(WorkerTime, Instant)>,
+    pub lists: Option<Lists>,
+    /// Counts the looks.
+    pub looks: u64,
+    pub noted: u64,
+    pub starts: BTreeMap<Key, Start>,
+    pub stops: BTreeSet<Key>,
+    pub progress: BTreeMap<Key, Progress>,
+    pub answered: Instant,
+    /// Until when, at most, what runs may go on.
+    pub leased: Option<Instant>,
+    /// When its life is taken for over.
+    pub over: Option<Instant>,
+}
+
+/// What a heartbeat has brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum News {
+    /// A new life.
+    Life,
+    /// Another state or room.
+    Terms,
+    /// Nothing.
+    None,
+}
+
+/// A look to be made.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub number: u64,
+    pub call: Call,
+    pub noted: u64,
+    pub expires: Option<WorkerTime>,
+    pub target: Option<Instant>,
+}
+
+/// All that an agent knows.
+#[derive(Debug)]
+pub struct State {
+    /// The life of this process.
+    process: String,
+    sequence: u64,
+    /// The highest fencing token seen.
+    pub token: Revision,
+    /// Until when the worker's tasks may go on.
+    pub granted: Option<Instant>,
+    /// Whether a worker has seen a higher token than we know.
+    pub fenced: bool,
+    pub worker: Option<Known>,
+}
+
+impl State {
+    pub fn new() -> State {
+        State {
+            process: uuid::Uuid::new_v4().simple().to_string(),
+            sequence: 0,
+            token: 0,
+            granted: None,
+            fenced: false,
+            worker: None,
+        }
+    }
+
+    pub fn heartbeat(&mut self, beat: Heartbeat, now: Instant) -> News {
+        let known = match &mut self.worker {
+            Some(known) if known.beat.life == beat.life => known,
+            _ => {
+                self.worker = Some(Known::new(beat, now));
+                return News::Life;
+            }
+        };
+        if beat.sequence <= known.beat.sequence {
+            return News::None;
+        }
+        known.stays = beat.remaining.map(|remaining| now + remaining);
+        let same = known.beat.leaving == beat.leaving
+            && known.beat.capacity == beat.capacity;
+        // A worker that has said so does not come back from leaving.
+        let leaving = known.beat.leaving || beat.leaving;
+        known.beat = Heartbeat { leaving, ..beat };
+        match same {
+            true => News::None,
+            false => News::Terms,
+        }
+    }
+
+    /// Takes in that a life ends; returns whether it is the one here.
+    pub fn left(&mut self, life: &str, over: Instant) -> bool {
+        match &mut self.worker {
+            Some(known) if &*known.beat.life == life => {
+                known.beat.leaving = true;
+                known.over = Some(over);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns the report to be sent now.
+    pub fn report(&mut self, config: &Config, now: Instant) -> Report {
+        self.sequence += 1;
+        let known = self.worker.as_ref();
+        let over = known.filter(|known| known.is_over(now));
+        let alive = known.filter(|known| !known.is_over(now));
+        Report {
+            agent: config.agent.clone(),
+            process: self.process.clone(),
+            sequence: self.sequence,
+            gone: over.map(|known| known.beat.life.clone()),
+            worker: alive.and_then(|known| known.report(now)),
+        }
+    }
+
+    /// Takes orders in; returns what is to be started and stopped now.
+    pub fn orders(
+        &mut self,
+        token: Revision,
+        granted: Option<Instant>,
+        orders: Orders,
+    ) -> Vec<Key> {
+        if token < self.token {
+            return Vec::new();
+        }
+        self.token = token;
+        self.fenced = false;
+        self.granted = self.granted.max(granted);
+        let Some(known) = &mut self.worker else {
+            return Vec::new();
+        };
+        match orders.life {
+            Some(life) if life == known.beat.life => {}
+            _ => return Vec::new(),
+        }
+        known.noted = known.noted.max(orders.noted);
+        let key = |stop: &Stop| (stop.task.clone(), stop.run);
+        known.stops = orders.stops.iter().map(key).collect();
+        let starts = orders.starts.into_iter();
+        known.starts = starts.map(|s| ((s.task.clone(), s.run), s)).collect();
+        known.due()
+    }
+
+    /// Returns until when a lease may go now, if it may go at all.
+    pub fn target(&self, lease: Duration, now: Instant) -> Option<Instant> {
+        let granted = self.granted?;
+        (granted > now + LEAST_LEASE).then(|| granted.min(now + lease))
+    }
+
+    /// Returns the next look.
+    pub fn plan(&mut self, lease: Duration, now: Instant) -> Option<Plan> {
+        let target = self.target(lease, now);
+        let token = self.token;
+        let known = self.worker.as_mut()?;
+        known.looks += 1;
+        let expires = target.and_then(|target| known.time_at(target));
+        Some(Plan {
+            number: known.looks,
+            call: Call {
+                life: known.beat.life.clone(),
+                token,
+            },
+            noted: known.noted,
+            expires,
+            target: target.filter(|_| expires.is_some()),
+        })
+    }
+
+    /// Takes a look's answer in; returns whether there is news in it.
+    pub fn looked(&mut self, plan: &Plan, look: Look, now: Instant) -> bool {
+        let Some(known) = &mut self.worker else {
+            return false;
+        };
+        if known.beat.life != plan.call.life {
+            return false;
+        }
+        known.answered = now;
+        known.over = known.over.filter(|_| known.beat.leaving);
+        known.clock = Some((look.time, now));
+        let new = known
+            .lists
+            .as_ref()
+            .is_none_or(|lists| runs(lists) != runs(&look.lists));
+        known.lists = Some(look.lists);
+        known.confirm(plan.number) || new
+    }
+
+    /// Takes in that a look had no answer; returns whether the worker's
+    /// life has come to its end by that.
+    pub fn unanswered(&mut self, now: Instant) -> bool {
+        let Some(known) = &mut self.worker else {
+            return false;
+        };
+        let lapsed = known.leased.is_none_or(|l| now > l + LEASE_SLACK);
+        let silent = now > known.answered + SILENT;
+        let over = known.over.is_none() && lapsed && silent;
+        if over {
+            known.over = Some(now);
+        }
+        over
+    }
+}
+
+type Listed<'a> = (Vec<(&'a Task, Run)>, Vec<u64>);
+
+fn runs(lists: &Lists) -> Listed<'_> {
+    let running = lists.running.iter().map(|r| (&r.task, r.run));
+    let ended = lists.ended.iter().map(|e| e.number);
+    (running.collect(), ended.collect())
+}
+
+impl Known {
+    fn new(beat: Heartbeat, now: Instant) -> Known {
+        Known {
+            stays: beat.remaining.map(|remaining| now + remaining),
+            clock: beat.time.map(|time| (time, now)),
+            beat,
+            lists: None,
+            looks: 0,
+            noted: 0,
+            starts: BTreeMap::new(),
+            stops: BTreeSet::new(),
+            progress: BTreeMap::new(),
+            answered: now,
+            leased: None,
+            over: None,
+        }
+    }
+
+    pub fn is_over(&self, now: Instant) -> bool {
+        self.over.is_some_and(|over| now >= over)
+    }
+
+    /// Returns the worker's time at an instant, or a little before it.
+    pub fn time_at(&self, target: Instant) -> Option<WorkerTime> {
+        let (time, at) = self.clock?;
+        let ahead = target.saturating_duration_since(at);
+        Some(time + ahead.as_millis() as u64)
+    }
+
+    /// Returns whether a run is listed.
+    fn lists(&self, key: &Key) -> bool {
+        self.lists.as_ref().is_some_and(|lists| {
+            let running = lists.running.iter().map(|r| (&r.task, r.run));
+            let ended = lists.ended.iter().map(|e| (&e.task, e.run));
+            running
+                .chain(ended)
+                .any(|(task, run)| *task == key.0 && run == key.1)
+        })
+    }
+
+    /// Takes for sure what a look with this number does not contradict;
+    /// returns whether there was any.
+    fn confirm(&mut self, number: u64) -> bool {
+        let listed: BTreeSet<Key> = self
+            .progress
+            .keys()
+            .filter(|key| self.lists(key))
+            .cloned()
+            .collect();
+        let mut any = false;
+        for (key, progress) in &mut self.progress {
+            if let Progress::Refused { look, sure, .. } = progress {
+                let now_sure = *look <= number && !listed.contains(key);
+                any |= now_sure && !*sure;
+                *sure |= now_sure;
+            }
+        }
+        any
+    }
+
+    /// Returns the orders that nothing is being done about yet.
+    fn due(&mut self) -> Vec<Key> {
+        let wanted = |key: &Key| {
+            self.starts.contains_key(key) || self.stops.contains(key)
+        };
+        self.progress.retain(|key, progress| {
+            wanted(key)
+                || matches!(progress, Progress::Starting | Progress::Stopping)
+        });
+        let mut due = Vec::new();
+        for key in self.starts.keys() {
+            if !self.progress.contains_key(key) {
+                due.push(key.clone());
+            }
+        }
+        for key in &self.stops {
+            let idle = match self.progress.get(key) {
+                None | Some(Progress::Starting | Progress::Started) => true,
+                Some(Progress::Stopping) => false,
+                // What the worker refused to start may still come late,
+                // unless it is barred.
+                Some(Progress::Refused { why, .. }) => *why != Refusal::Barred,
+            };
+            if idle {
+                due.push(key.clone());
+            }
+        }
+        for key in &due {
+            let progress = match self.stops.contains(key) {
+                true => Progress::Stopping,
+                false => Progress::Starting,
+            };
+            self.progress.insert(key.clone(), progress);
+        }
+        due
+    }
+
+    fn report(&self, now: Instant) -> Option<WorkerReport> {
+        let lists = self.lists.clone()?;
+        let refused =
+            self.progress.iter().filter_map(
+                |(key, progress)| match progress {
+                    Progress::Refused {
+                        why, sure: true, ..
+                    } => Some(Refused {
+                        task: key.0.clone(),
+                        run: key.1,
+                        why: *why,
+                    }),
+                    _ => None,
+                },
+            );
+        let remaining = self
+            .stays
+            .map(|stays| stays.saturating_duration_since(now).as_millis());
+        Some(WorkerReport {
+            life: self.beat.life.clone(),
+            pool: self.beat.pool.clone(),
+            machine: self.beat.machine.clone(),
+            hall: self.beat.hall.clone(),
+            rack: self.beat.rack.clone(),
+            labels: self.beat.labels.clone(),
+            capacity: self.beat.capacity,
+            leaving: self.beat.leaving,
+            remaining_ms: remaining.map(|ms| ms as u64),
+            lists,
+            refused: refused.collect(),
+        })
+    }
+}
--- /dev/null
+++ b/src/cell/planner.rs
@@ -0,0 +1,421 @@
+//! The planner: an actor that drives the books while the claim holds.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use ractor::Actor;
+use ractor::ActorProcessingErr;
+use ractor::ActorRef;
+use ractor::RpcReplyPort;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::cell::claim::Claim;
+use crate::cell::configuration::Source;
+use crate::cell::keys;
+use crate::cell::keys::Intake;
+use crate::cell::rpc::Answer;
+use crate::cell::writer;
+use crate::cell::writer::Known;
+use crate::cell::writer::Written;
+use crate::graph::AgentId;
+use crate::graph::Book;
+use crate::graph::Id;
+use crate::graph::Job;
+use crate::graph::Moment;
+use crate::graph::Progress;
+use crate::graph::Report;
+use crate::graph::Terms;
+use crate::graph::Text;
+use crate::store::Change;
+use crate::store::Item;
+use crate::store::Listing;
+use crate::store::Put;
+use crate::store::Store;
+
+/// How long an agent's report waits for orders.
+pub const HOLD: Duration = Duration::from_millis(1000);
+/// How often time-driven rules are looked at.
+const TICK: Duration = Duration::from_millis(250);
+/// How long records of ended jobs are kept; callers may ask for 120 s.
+const KEPT: Duration = Duration::from_secs(600);
+/// How many records are removed in one transaction of three entries each.
+const REMOVED: usize = 8;
+
+/// What the planner is told.
+pub enum Message {
+    /// What an agent says.
+    Sync(Box<Report>, RpcReplyPort<Answer>),
+    /// What entries have told it.
+    Changes(Vec<Change>),
+    /// All that entries have told it, after changes were missed.
+    Listing(Listing),
+    /// A batch is written, or the claim is lost.
+    Written(Result<Written, writer::Lost>),
+    /// Records were removed, or not.
+    Removed(Vec<Id>),
+    /// Something was taken in: decide.
+    Decide,
+    /// Time has passed.
+    Tick,
+}
+
+/// A report that waits for orders.
+struct Held {
+    process: String,
+    sequence: u64,
+    reply: RpcReplyPort<Answer>,
+    since: Instant,
+}
+
+/// Everything that a planner starts with.
+pub struct Start<S> {
+    /// The store.
+    pub store: S,
+    /// The claim that it plans under.
+    pub claim: Claim,
+    /// The configuration, for the guarantees.
+    pub source: Source,
+    /// The times that decisions rest on.
+    pub terms: Terms,
+    /// What entries have told so far.
+    pub intake: Listing,
+    /// What earlier planners have kept.
+    pub progress: Listing,
+    /// Told once the claim is lost.
+    pub lost: watch::Sender<bool>,
+    /// Where logs go.
+    pub log: slog::Logger,
+}
+
+/// The state of the actor.
+pub struct State<S> {
+    store: S,
+    claim: Claim,
+    source: Source,
+    book: Book,
+    known: Known,
+    /// Progress of jobs whose acceptance was not listed yet.
+    kept: HashMap<String, Progress>,
+    writing: bool,
+    removing: bool,
+    deciding: bool,
+    held: HashMap<AgentId, Held>,
+    /// Agents whose orders have changed while they asked for none.
+    due: BTreeSet<AgentId>,
+    guarantees: BTreeMap<Text, i64>,
+    lost: watch::Sender<bool>,
+    log: slog::Logger,
+}
+
+/// The actor.
+pub struct Planner<S>(std::marker::PhantomData<S>);
+
+impl<S> Default for Planner<S> {
+    fn default() -> Planner<S> {
+        Planner(std::marker::PhantomData)
+    }
+}
+
+impl<S: Store> Actor for Planner<S> {
+    type Msg = Message;
+    type State = State<S>;
+    type Arguments = Start<S>;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<Message>,
+        start: Start<S>,
+    ) -> Result<State<S>, ActorProcessingErr> {
+        myself.send_interval(TICK, || Message::Tick);
+        Ok(State::new(start))
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<Message>,
+        message: Message,
+        state: &mut State<S>,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            Message::Sync(report, reply) => state.sync(*report, reply),
+            Message::Changes(changes) => state.changes(changes),
+            Message::Listing(listing) => state.listing(listing),
+            Message::Written(written) => state.written(written),
+            Message::Removed(ids) => state.removed(&ids),
+            Message::Tick => state.tick(&myself),
+            Message::Decide => {
+                state.decide(&myself);
+                return Ok(());
+            }
+        }
+        // Whatever else waits in the mailbox is taken in first.
+        if !state.deciding {
+            state.deciding = true;
+            myself.cast(Message::Decide)?;
+        }
+        Ok(())
+    }
+}
+
+impl<S: Store> State<S> {
+    fn new(start: Start<S>) -> State<S> {
+        let mut state = State {
+            store: start.store,
+            claim: start.claim,
+            source: start.source,
+            book: Book::new(start.terms, Moment::present()),
+            known: Known::default(),
+            kept: HashMap::new(),
+            writing: false,
+            removing: false,
+            deciding: false,
+            held: HashMap::new(),
+            due: BTreeSet::new(),
+            guarantees: BTreeMap::new(),
+            lost: start.lost,
+            log: start.log,
+        };
+        for item in start.progress.items {
+            state.take_progress(item);
+        }
+        state.listing(start.intake);
+        state
+    }
+
+    fn take_progress(&mut self, item: Item) {
+        let Some(id) = item.key.strip_prefix(keys::PROGRESS) else {
+            return;
+        };
+        match serde_json::from_slice::<Progress>(&item.value) {
+            Ok(progress) => {
+                self.known.revisions.insert(id.into(), item.modified);
+                self.known.begun.insert(id.into());
+                self.kept.insert(id.to_owned(), progress);
+            }
+            Err(error) => slog::error!(self.log,
+                "planner: progress cannot be read"; "key" => &item.key,
+                "error" => %error),
+        }
+    }
+
+    fn listing(&mut self, listing: Listing) {
+        let jobs = listing.items.into_iter().map(Change::Put).collect();
+        self.changes(jobs);
+    }
+
+    fn changes(&mut self, changes: Vec<Change>) {
+        let now = Moment::present();
+        let mut cancelled = Vec::new();
+        for change in changes {
+            let Change::Put(item) = change else {
+                continue;
+            };
+            match keys::intake(&item.key) {
+                Some(Intake::Job(id)) if !self.book.knows(id) => {
+                    self.accept(id, &item.value, now);
+                }
+                Some(Intake::Cancel(id)) => cancelled.push(id.to_owned()),
+                _ => {}
+            }
+        }
+        // Listed by key, a cancellation comes before its job.
+        for id in cancelled {
+            self.book.cancel(&id, now);
+        }
+    }
+
+    fn accept(&mut self, id: &str, value: &[u8], now: Moment) {
+        match serde_json::from_slice::<Job>(value) {
+            Ok(job) => {
+                let progress = self.kept.remove(id);
+                slog::info!(self.log, "planner: a job is taken in";
+                    "job" => id, "known" => progress.is_some());
+                self.book.accept(job, progress, now);
+            }
+            Err(error) => slog::error!(self.log,
+                "planner: a job cannot be read"; "job" => id,
+                "error" => %error),
+        }
+    }
+
+    fn sync(&mut self, report: Report, reply: RpcReplyPort<Answer>) {
+        let agent = report.agent.clone();
+        if !self.claim.holds() {
+            send(&self.log, reply, Answer::NotPlanner);
+            return;
+        }
+        let held = Held {
+            process: report.process.clone(),
+            sequence: report.sequence,
+            reply,
+            since: Instant::now(),
+        };
+        let overtaken = self.held.get(&agent).is_some_and(|newer| {
+            newer.process == held.process && newer.sequence > held.sequence
+        });
+        if overtaken {
+            send(&self.log, held.reply, Answer::NotPlanner);
+            return;
+        }
+        self.book.report(report, Moment::present());
+        if let Some(earlier) = self.held.insert(agent, held) {
+            // Its agent has given it up for the one just come.
+            send(&self.log, earlier.reply, Answer::NotPlanner);
+        }
+    }
+
+    fn written(&mut self, written: Result<Written, writer::Lost>) {
+        self.writing = false;
+        let written = match written {
+            Ok(written) => written,
+            Err(error) => {
+                slog::warn!(self.log, "planner: gives up";
+                    "token" => self.claim.token, "error" => %error);
+                // The session that reads this may be over already.
+                let _ = self.lost.send(true);
+                return;
+            }
+        };
+        for (id, version, revision) in written.jobs {
+            self.known.revisions.insert(id.clone(), revision);
+            self.known.begun.insert(id.clone());
+            self.book.written(&id, version);
+        }
+    }
+
+    fn removed(&mut self, ids: &[Id]) {
+        self.removing = false;
+        for id in ids {
+            self.book.forget(id);
+            self.known.revisions.remove(id);
+            self.known.begun.remove(id);
+        }
+    }
+
+    fn decide(&mut self, myself: &ActorRef<Message>) {
+        self.deciding = false;
+        if *self.lost.borrow() {
+            return;
+        }
+        if let Some(configuration) = self.source.current() {
+            if configuration.guarantees != self.guarantees {
+                self.guarantees = configuration.guarantees.clone();
+                self.book.set_guarantees(self.guarantees.clone());
+            }
+        }
+        self.book.step(Moment::present());
+        for note in self.book.take_notes() {
+            slog::info!(self.log, "planner: {}", note;
+                "token" => self.claim.token);
+        }
+        self.write(myself);
+        self.due.extend(self.book.take_stirred());
+        let due: Vec<AgentId> = self
+            .due
+            .iter()
+            .filter(|agent| self.held.contains_key(*agent))
+            .cloned()
+            .collect();
+        for agent in due {
+            self.answer(&agent);
+        }
+    }
+
+    fn answer(&mut self, agent: &AgentId) {
+        let Some(held) = self.held.remove(agent) else {
+            return;
+        };
+        self.due.remove(agent);
+        let answer = match self.claim.holds() {
+            true => Answer::Orders {
+                token: self.claim.token,
+                granted: true,
+                orders: self.book.orders(agent),
+            },
+            false => Answer::NotPlanner,
+        };
+        send(&self.log, held.reply, answer);
+    }
+
+    fn write(&mut self, myself: &ActorRef<Message>) {
+        if self.writing {
+            return;
+        }
+        let batch = self.book.unwritten(writer::MOST);
+        if batch.is_empty() {
+            return;
+        }
+        self.writing = true;
+        let store = self.store.clone();
+        let claim = self.claim.clone();
+        let known = self.known.of(&batch);
+        let myself = myself.clone();
+        tokio::spawn(async move {
+            let written = writer::write(&store, &claim, &known, &batch).await;
+            // A planner that has stopped needs no outcome.
+            let _ = myself.cast(Message::Written(written));
+        });
+    }
+
+    fn tick(&mut self, myself: &ActorRef<Message>) {
+        let now = Instant::now();
+        let old: Vec<AgentId> = self
+            .held
+            .iter()
+            .filter(|(_, held)| now >= held.since + HOLD)
+            .map(|(agent, _)| agent.clone())
+            .collect();
+        for agent in old {
+            self.answer(&agent);
+        }
+        self.remove(myself);
+    }
+
+    /// Removes the records of jobs that ended long ago.
+    fn remove(&mut self, myself: &ActorRef<Message>) {
+        let before = SystemTime::now().checked_sub(KEPT);
+        let ids: Vec<Id> = match before {
+            Some(before) if !self.removing => self.book.ended_before(before),
+            _ => return,
+        };
+        let ids: Vec<Id> = ids.into_iter().take(REMOVED).collect();
+        if ids.is_empty() {
+            return;
+        }
+        self.removing = true;
+        let puts: Vec<Put> = ids
+            .iter()
+            .flat_map(|id| {
+                [keys::job(id), keys::cancel(id), keys::progress(id)]
+            })
+            .map(Put::Delete)
+            .collect();
+        let store = self.store.clone();
+        let condition = self.claim.condition();
+        let log = self.log.clone();
+        let myself = myself.clone();
+        tokio::spawn(async move {
+            let removed = store.swap(&[condition], puts).await;
+            let ids = match removed {
+                Ok(crate::store::Swap::Written(_)) => ids,
+                other => {
+                    slog::warn!(log, "planner: old records stay";
+                        "outcome" => ?other);
+                    Vec::new()
+                }
+            };
+            // A planner that has stopped needs no outcome.
+            let _ = myself.cast(Message::Removed(ids));
+        });
+    }
+}
+
+fn send(log: &slog::Logger, reply: RpcReplyPort<Answer>, answer: Answer) {
+    if reply.send(answer).is_err() {
+        slog::debug!(log, "planner: an agent no longer waits");
+    }
+}
--- /dev/null
+++ b/src/cell/session.rs
@@ -0,0 +1,274 @@
+//! Claiming, and hosting the planner for as long as the claim holds.
+
+use std::time::Duration;
+
+use jsonrpsee::core::async_trait;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::types::ErrorObjectOwned;
+use ractor::Actor;
+use ractor::ActorRef;
+use tokio::sync::watch;
+
+use crate::cell::claim;
+use crate::cell::claim::Claim;
+use crate::cell::claim::Holder;
+use crate::cell::claim::Tried;
+use crate::cell::configuration::Source;
+use crate::cell::keys;
+use crate::cell::pause;
+use crate::cell::planner::Message;
+use crate::cell::planner::Planner;
+use crate::cell::planner::Start;
+use crate::cell::planner::HOLD;
+use crate::cell::rpc::Answer;
+use crate::cell::rpc::CellServer;
+use crate::graph::Report;
+use crate::graph::Terms;
+use crate::store::Error;
+use crate::store::Listing;
+use crate::store::Revision;
+use crate::store::Store;
+
+/// How long one call for changes waits; a lost one is noticed by then.
+const WATCH: Duration = Duration::from_millis(2000);
+/// How much longer than it waits a call for changes may take.
+const WATCH_SLACK: Duration = Duration::from_millis(700);
+/// How long is waited after a call that failed.
+const AGAIN: Duration = Duration::from_millis(100);
+/// How long a call that does not wait may take.
+const CALL: Duration = Duration::from_millis(1200);
+/// The code of an error that says that the planner has gone.
+const STOPPED: i32 = -32000;
+
+/// How long a report waits for a planner that has claimed and still reads.
+const STARTING: Duration = Duration::from_millis(600);
+
+/// The planner of this process, while it hosts one.
+#[derive(Clone, Debug)]
+pub struct Host {
+    current: watch::Sender<Option<ActorRef<Message>>>,
+}
+
+impl Default for Host {
+    fn default() -> Host {
+        Host::new()
+    }
+}
+
+impl Host {
+    /// Returns a host without a planner.
+    pub fn new() -> Host {
+        Host {
+            current: watch::Sender::new(None),
+        }
+    }
+
+    fn set(&self, planner: Option<ActorRef<Message>>) {
+        self.current.send_replace(planner);
+    }
+
+    async fn get(&self) -> Option<ActorRef<Message>> {
+        let mut current = self.current.subscribe();
+        let hosted = current.wait_for(Option::is_some);
+        let hosted = tokio::time::timeout(STARTING, hosted).await;
+        let planner = hosted.ok()?.ok()?.clone();
+        planner
+    }
+}
+
+#[async_trait]
+impl CellServer for Host {
+    async fn sync(&self, report: Report) -> RpcResult<Answer> {
+        let Some(planner) = self.get().await else {
+            return Ok(Answer::NotPlanner);
+        };
+        let message = |reply| Message::Sync(Box::new(report), reply);
+        let limit = Some(HOLD * 4);
+        match planner.call(message, limit).await {
+            Ok(ractor::rpc::CallResult::Success(answer)) => Ok(answer),
+            _ => Err(ErrorObjectOwned::owned(
+                STOPPED,
+                "the planner has stopped",
+                None::<()>,
+            )),
+        }
+    }
+}
+
+/// What an entry needs to claim and plan.
+#[derive(Clone)]
+pub struct Session<S> {
+    /// The store.
+    pub store: S,
+    /// Who it claims as.
+    pub holder: Holder,
+    /// Where agents reach the planner.
+    pub host: Host,
+    /// The configuration.
+    pub source: Source,
+    /// The times that decisions rest on.
+    pub terms: Terms,
+    /// Where logs go.
+    pub log: slog::Logger,
+}
+
+impl<S: Store> Session<S> {
+    /// Claims whenever the claim is free, and plans while it holds, until
+    /// told to stop.
+    pub async fn run(self, stop: watch::Receiver<bool>) {
+        while !*stop.borrow() {
+            self.turn(stop.clone()).await;
+        }
+    }
+
+    async fn turn(&self, mut stop: watch::Receiver<bool>) {
+        let tried = claim::try_claim(&self.store, &self.holder);
+        match tokio::time::timeout(CALL * 2, tried).await {
+            Ok(Ok(Tried::Held(claim))) => {
+                slog::info!(self.log, "planner: has claimed";
+                    "token" => claim.token);
+                let planned = self.plan(&claim, stop).await;
+                self.host.set(None);
+                slog::info!(self.log, "planner: has stepped down";
+                    "token" => claim.token, "outcome" => ?planned);
+                // The process may claim anew once its claim is over.
+                if claim.holds() {
+                    let revoked = self.store.revoke(claim.lease);
+                    let revoked = tokio::time::timeout(CALL, revoked).await;
+                    slog::info!(self.log, "planner: gives the claim back";
+                        "outcome" => ?revoked);
+                }
+            }
+            Ok(Ok(Tried::Other(revision))) => tokio::select! {
+                () = self.wait(revision) => {}
+                _ = stop.changed() => {}
+            },
+            Ok(Err(_)) | Err(_) => pause(AGAIN * 2).await,
+        }
+    }
+
+    /// Waits until the claim may be free.
+    async fn wait(&self, revision: Revision) {
+        let changes = self.store.changes(keys::PLANNER, revision, WATCH);
+        let limit = WATCH + WATCH_SLACK;
+        match tokio::time::timeout(limit, changes).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(_)) | Err(_) => pause(AGAIN).await,
+        }
+    }
+
+    async fn plan(
+        &self,
+        claim: &Claim,
+        mut stop: watch::Receiver<bool>,
+    ) -> Result<(), Error> {
+        let (progress, intake) = tokio::select! {
+            read = self.read(claim) => read?,
+            () = self.renew(claim) => return Ok(()),
+            _ = stop.changed() => return Ok(()),
+        };
+        let after = intake.revision;
+        let (lost, mut is_lost) = watch::channel(false);
+        let start = Start {
+            store: self.store.clone(),
+            claim: claim.clone(),
+            source: self.source.clone(),
+            terms: self.terms,
+            intake,
+            progress,
+            lost,
+            log: self.log.clone(),
+        };
+        let spawned = Actor::spawn(None, Planner::default(), start).await;
+        let planner = match spawned {
+            Ok((planner, _)) => planner,
+            Err(error) => {
+                slog::error!(self.log, "planner: cannot start";
+                    "error" => %error);
+                return Ok(());
+            }
+        };
+        self.host.set(Some(planner.clone()));
+        tokio::select! {
+            () = self.renew(claim) => {}
+            () = self.follow(&planner, after) => {}
+            _ = is_lost.changed() => {}
+            _ = stop.changed() => {}
+        }
+        self.host.set(None);
+        planner.stop(None);
+        Ok(())
+    }
+
+    /// Reads what earlier planners and all entries have left.
+    async fn read(&self, claim: &Claim) -> Result<(Listing, Listing), Error> {
+        loop {
+            // Acceptances last: whatever comes after them is watched.
+            let progress = self.list(keys::PROGRESS).await;
+            let intake = self.list(keys::INTAKE).await;
+            match (progress, intake) {
+                (Some(progress), Some(intake)) => {
+                    return Ok((progress, intake));
+                }
+                _ if !claim.holds() => return Ok(Default::default()),
+                _ => pause(AGAIN).await,
+            }
+        }
+    }
+
+    async fn list(&self, prefix: &str) -> Option<Listing> {
+        let list = tokio::time::timeout(CALL, self.store.list(prefix));
+        match list.await {
+            Ok(Ok(listing)) => Some(listing),
+            Ok(Err(error)) => {
+                slog::warn!(self.log, "planner: records cannot be read";
+                    "prefix" => prefix, "error" => %error);
+                None
+            }
+            Err(_) => None,
+        }
+    }
+
+    /// Renews the claim until it is lost.
+    async fn renew(&self, claim: &Claim) {
+        while claim.renew(&self.store).await && claim.holds() {
+            tokio::time::sleep(claim::RENEW).await;
+        }
+    }
+
+    /// Tells the planner what entries tell it.
+    async fn follow(&self, planner: &ActorRef<Message>, mut after: Revision) {
+        loop {
+            let changes = self.store.changes(keys::INTAKE, after, WATCH);
+            let limit = WATCH + WATCH_SLACK;
+            let message = match tokio::time::timeout(limit, changes).await {
+                Ok(Ok(changes)) => {
+                    after = after.max(changes.revision);
+                    Message::Changes(changes.changes)
+                }
+                Ok(Err(Error::Forgotten(_))) => {
+                    match self.list(keys::INTAKE).await {
+                        Some(listing) => {
+                            slog::warn!(self.log,
+                                "planner: changes were missed, all is read";
+                                "from" => after, "to" => listing.revision);
+                            after = listing.revision;
+                            Message::Listing(listing)
+                        }
+                        None => {
+                            pause(AGAIN).await;
+                            continue;
+                        }
+                    }
+                }
+                Ok(Err(_)) | Err(_) => {
+                    pause(AGAIN).await;
+                    continue;
+                }
+            };
+            if planner.cast(message).is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/src/entry/claim.rs
+++ b/src/entry/claim.rs
@@ -121,9 +121,9 @@
     match shared.store.swap(&[absent], vec![put]).await {
         Ok(Swap::Written(revision)) => Ok(Some(revision)),
         Ok(Swap::Refused(_)) => Ok(None),
-        Err(store::Error::Unreached(error)) => {
-            Err(store::Error::Unreached(error))
-        }
+        Err(
+            error @ (store::Error::Unreached(_) | store::Error::Forgotten(_)),
+        ) => Err(error),
         Err(store::Error::Lost(_)) => {
             // The answer is lost, not the write: reading back tells.
             let item = shared.store.get(key).await?;
--- /dev/null
+++ b/src/graph/book.rs
@@ -0,0 +1,446 @@
+//! The books: workers, jobs, units, and who runs what where.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::graph::health::Health;
+use crate::graph::AgentId;
+use crate::graph::Id;
+use crate::graph::Job;
+use crate::graph::Life;
+use crate::graph::Moment;
+use crate::graph::Outcome;
+use crate::graph::Place;
+use crate::graph::Progress;
+use crate::graph::Resources;
+use crate::graph::Run;
+use crate::graph::Task;
+use crate::graph::Text;
+use crate::graph::UnitKey;
+
+/// The times that the decisions rest on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// How long an agent keeps its worker's tasks going after it was last
+    /// granted that.
+    pub survival: Duration,
+    /// What is added to that before the tasks are taken for gone: slow
+    /// clocks of workers, and the time an end takes.
+    pub margin: Duration,
+    /// How long an agent may be silent and still be given new work.
+    pub contact: Duration,
+    /// How many times longer a task takes away from its data or gang.
+    pub far: f64,
+    /// How long a gang's first member waits for the others.
+    pub gang_wait: Duration,
+    /// The longest that a stopped task still occupies its room.
+    pub stop: Duration,
+}
+
+impl Default for Terms {
+    fn default() -> Terms {
+        Terms {
+            survival: Duration::from_secs(12),
+            margin: Duration::from_millis(800),
+            contact: Duration::from_millis(2200),
+            far: 3.0,
+            gang_wait: Duration::from_secs(3),
+            stop: Duration::from_secs(1),
+        }
+    }
+}
+
+/// An end that is not yet acknowledged.
+#[derive(Clone, Debug)]
+pub(super) struct Unnoted {
+    pub number: u64,
+    pub job: Id,
+    /// The version of the job's progress that holds it.
+    pub version: u64,
+}
+
+/// A worker, as its agent last reported it.
+#[derive(Clone, Debug)]
+pub(super) struct Worker {
+    pub life: Life,
+    pub pool: Text,
+    pub hall: Text,
+    pub rack: Text,
+    pub labels: Vec<Text>,
+    pub capacity: Resources,
+    pub leaving: bool,
+    /// Until when it stays at least, while it is leaving.
+    pub stays: Option<Instant>,
+    /// What the members placed here take.
+    pub used: Resources,
+    pub process: String,
+    pub sequence: u64,
+    /// When the last report that was granted survival came in.
+    pub granted: Instant,
+    /// The highest end that was taken in.
+    pub taken: u64,
+    /// The highest end that is acknowledged.
+    pub noted: u64,
+    pub unnoted: VecDeque<Unnoted>,
+    /// Runs that nobody here has ordered, to be stopped.
+    pub strays: BTreeSet<(Task, Run)>,
+    pub health: Health,
+    /// Whether its life is over, as far as its agent knows.
+    pub gone: bool,
+}
+
+impl Worker {
+    pub fn free(&self) -> Resources {
+        self.capacity.minus(&self.used)
+    }
+}
+
+/// How far a member has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum State {
+    /// Its start is ordered, once this version of the progress is written.
+    Ordered(u64),
+    /// Its worker lists it as running.
+    Present,
+    /// It has ended, or never began and never will.
+    Ended,
+}
+
+/// A task of a run.
+#[derive(Clone, Debug)]
+pub(super) struct Member {
+    pub index: u32,
+    pub place: Place,
+    pub state: State,
+    /// Whether its start was ever handed to an agent.
+    pub handed: bool,
+    pub since: Instant,
+    pub percent: f64,
+    /// When its percentage last rose.
+    pub moved: Instant,
+}
+
+/// Where a unit stands.
+#[derive(Clone, Debug, Default)]
+pub(super) enum Phase {
+    /// It waits for a place.
+    #[default]
+    Waiting,
+    /// It has a place, whose room is not free yet.
+    Reserved(Vec<Member>),
+    /// A run was given out.
+    Running(Vec<Member>),
+    /// It is done.
+    Done,
+}
+
+/// Why a run is stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Why {
+    /// Its job is over.
+    Over,
+    /// Its room goes to a job of higher priority.
+    Preempted,
+    /// A member could not start, or has ended.
+    Broken,
+    /// It makes no progress.
+    Stuck,
+    /// Its worker is leaving before it would be done.
+    Leaving,
+}
+
+/// What is placed and started as one.
+#[derive(Clone, Debug)]
+pub(super) struct Unit {
+    pub phase: Phase,
+    /// Since when it could be placed.
+    pub ready: Instant,
+    /// Before which it is not placed.
+    pub not_before: Instant,
+    /// Where it has failed.
+    pub avoid: Vec<AgentId>,
+    pub stop: Option<Why>,
+    pub any_done: bool,
+    pub any_failed: bool,
+}
+
+impl Unit {
+    pub fn new(now: Instant) -> Unit {
+        Unit {
+            phase: Phase::Waiting,
+            ready: now,
+            not_before: now,
+            avoid: Vec::new(),
+            stop: None,
+            any_done: false,
+            any_failed: false,
+        }
+    }
+
+    /// Returns its members that have not ended.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        let members: &[Member] = match &self.phase {
+            Phase::Reserved(members) | Phase::Running(members) => members,
+            Phase::Waiting | Phase::Done => &[],
+        };
+        members.iter().filter(|m| m.state != State::Ended)
+    }
+}
+
+/// A job and how far it has come.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    pub job: Arc<Job>,
+    pub progress: Progress,
+    /// Counts the changes of the progress.
+    pub version: u64,
+    /// The last version that is written.
+    pub written: u64,
+    pub cancelled: bool,
+    /// The units that have been opened: their time is due, and the steps
+    /// that they wait for are done.
+    pub units: BTreeMap<UnitKey, Unit>,
+    /// The steps that have been opened.
+    pub opened: BTreeSet<(u32, usize)>,
+    pub accepted: Instant,
+}
+
+impl Entry {
+    pub fn over(&self) -> bool {
+        self.progress.outcome.is_some()
+    }
+
+    /// Returns the members that a unit has.
+    pub fn width(&self, key: &UnitKey) -> u32 {
+        match key.index {
+            Some(_) => 1,
+            None => self.job.steps[key.step].replicas,
+        }
+    }
+
+    /// Returns whether every task of a step is done.
+    pub fn step_done(&self, time: u32, step: usize) -> bool {
+        let done = |index| {
+            let key = UnitKey { time, step, index };
+            self.progress.units.get(&key).is_some_and(|unit| unit.done)
+        };
+        let terms = &self.job.steps[step];
+        match terms.gang {
+            true => done(None),
+            false => (0..terms.replicas).all(|index| done(Some(index))),
+        }
+    }
+
+    /// Returns whether every task of the job is done.
+    pub fn all_done(&self) -> bool {
+        (0..self.job.times()).all(|time| {
+            (0..self.job.steps.len()).all(|step| self.step_done(time, step))
+        })
+    }
+
+    /// Returns the name of a member's task.
+    pub fn task(&self, key: &UnitKey, member: &Member) -> Task {
+        Task {
+            job: self.job.id.clone(),
+            time: key.time,
+            step: key.step,
+            index: member.index,
+        }
+    }
+}
+
+/// The decision core.
+#[derive(Clone, Debug)]
+pub struct Book {
+    pub(super) terms: Terms,
+    /// When this planner claimed: no grant of an earlier one is later.
+    pub(super) began: Instant,
+    pub(super) workers: BTreeMap<AgentId, Worker>,
+    pub(super) jobs: BTreeMap<Id, Entry>,
+    /// Jobs with units that are not done.
+    pub(super) open: BTreeSet<Id>,
+    /// The accelerators that each client account is guaranteed.
+    pub(super) guarantees: BTreeMap<Text, i64>,
+    pub(super) dirty: BTreeSet<Id>,
+    pub(super) stirred: BTreeSet<AgentId>,
+    /// What the last steps decided, for the log.
+    pub(super) notes: Vec<String>,
+}
+
+/// The most notes that are kept until they are taken.
+const MAX_NOTES: usize = 2000;
+
+impl Book {
+    /// Returns books without workers and jobs.
+    pub fn new(terms: Terms, now: Moment) -> Book {
+        Book {
+            terms,
+            began: now.now,
+            workers: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            open: BTreeSet::new(),
+            guarantees: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            stirred: BTreeSet::new(),
+            notes: Vec::new(),
+        }
+    }
+
+    /// Sets the accelerators that each client account is guaranteed.
+    pub fn set_guarantees(&mut self, guarantees: BTreeMap<Text, i64>) {
+        self.guarantees = guarantees;
+    }
+
+    /// Returns the jobs that are not over, or still hold something.
+    pub(super) fn live(&self) -> impl Iterator<Item = &Entry> {
+        self.open.iter().filter_map(|id| self.jobs.get(id))
+    }
+
+    /// Returns whether a job is known.
+    pub fn knows(&self, id: &str) -> bool {
+        self.jobs.contains_key(id)
+    }
+
+    /// Returns how a job stands.
+    pub fn progress(&self, id: &str) -> Option<&Progress> {
+        self.jobs.get(id).map(|entry| &entry.progress)
+    }
+
+    /// Returns what was decided since this was last called.
+    pub fn take_notes(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.notes)
+    }
+
+    pub(super) fn note(&mut self, note: String) {
+        if self.notes.len() < MAX_NOTES {
+            self.notes.push(note);
+        }
+    }
+
+    /// Returns the agents whose orders may have changed since this was last
+    /// called.
+    pub fn take_stirred(&mut self) -> BTreeSet<AgentId> {
+        std::mem::take(&mut self.stirred)
+    }
+
+    /// Returns up to `most` jobs whose progress must be written, each with
+    /// its version.
+    pub fn unwritten(&mut self, most: usize) -> Vec<Unwritten> {
+        let ids: Vec<Id> = self.dirty.iter().take(most).cloned().collect();
+        ids.iter()
+            .filter_map(|id| {
+                self.dirty.remove(id);
+                let entry = self.jobs.get(id)?;
+                Some(Unwritten {
+                    id: id.clone(),
+                    queue: entry.job.queue.clone(),
+                    version: entry.version,
+                    progress: entry.progress.clone(),
+                })
+            })
+            .collect()
+    }
+
+    /// Takes note that a version of a job's progress is written.
+    pub fn written(&mut self, id: &str, version: u64) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        entry.written = entry.written.max(version);
+        let written = entry.written;
+        for unit in entry.units.values() {
+            let agents = unit.members().map(|m| m.place.agent.clone());
+            self.stirred.extend(agents);
+        }
+        for (agent, worker) in &mut self.workers {
+            let waits = worker
+                .unnoted
+                .iter()
+                .any(|end| &*end.job == id && end.version <= written);
+            if waits {
+                self.stirred.insert(agent.clone());
+            }
+        }
+        let over = self.jobs.get(id).is_some_and(Entry::over);
+        if over && self.settled(id) {
+            self.open.remove(id);
+        }
+    }
+
+    /// Returns the jobs that ended before `before` and hold nothing any
+    /// more.
+    pub fn ended_before(&self, before: std::time::SystemTime) -> Vec<Id> {
+        let old = |entry: &&Entry| {
+            entry.progress.ended.is_some_and(|ended| ended < before)
+                && entry.written == entry.version
+        };
+        let ids = self.jobs.values().filter(old);
+        ids.map(|entry| entry.job.id.clone())
+            .filter(|id| self.settled(id))
+            .collect()
+    }
+
+    /// Forgets a job whose records are removed.
+    pub fn forget(&mut self, id: &str) {
+        self.jobs.remove(id);
+        self.open.remove(id);
+        self.dirty.remove(id);
+    }
+
+    fn settled(&self, id: &str) -> bool {
+        self.jobs.get(id).is_none_or(|entry| {
+            entry.units.values().all(|u| u.members().next().is_none())
+        })
+    }
+
+    pub(super) fn touch(&mut self, id: &str) {
+        if let Some(entry) = self.jobs.get_mut(id) {
+            entry.version += 1;
+            self.dirty.insert(entry.job.id.clone());
+        }
+    }
+
+    pub(super) fn succeed_if_done(&mut self, id: &str, now: Moment) {
+        let Some(entry) = self.jobs.get(id) else {
+            return;
+        };
+        if !entry.over() && !entry.job.lasts() && entry.all_done() {
+            self.finish(id, Outcome::Succeeded, now);
+        }
+    }
+
+    /// Ends a job and stops what still runs of it.
+    pub(super) fn finish(&mut self, id: &str, outcome: Outcome, now: Moment) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if entry.over() {
+            return;
+        }
+        entry.progress.outcome = Some(outcome);
+        entry.progress.ended = Some(now.wall);
+        let keys: Vec<UnitKey> = entry.units.keys().copied().collect();
+        for key in keys {
+            self.stop_unit(id, &key, Why::Over, now);
+        }
+        self.touch(id);
+        self.note(format!("job {id} has ended: {outcome:?}"));
+    }
+}
+
+/// The progress of a job that must be written.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Unwritten {
+    /// The job.
+    pub id: Id,
+    /// Its queue.
+    pub queue: Text,
+    /// The version of the progress.
+    pub version: u64,
+    /// The progress.
+    pub progress: Progress,
+}
--- /dev/null
+++ b/src/graph/mod.rs
@@ -0,0 +1,81 @@
+//! Jobs that are graphs of steps, and the decisions about them.
+//!
+//! A *job* has steps; a step has `replicas` tasks. What is placed and
+//! started as one is a *unit*: the whole gang of a step that is a gang, else
+//! one task. Each start of a unit is a *run*, numbered from 1; its members
+//! are one task each, on one worker each.
+//!
+//! [`Book`] is the decision core: it has no clock, does no I/O and draws no
+//! random numbers. It is told what happened and says which progress must be
+//! written ([`Book::unwritten`]) and what each agent is to do
+//! ([`Book::orders`]). An order is given only once the progress that names
+//! its run is written, and an end is acknowledged only once it is written:
+//! so a planner that takes over neither gives a run number out twice nor
+//! misses an end.
+
+mod book;
+mod health;
+mod intake;
+mod job;
+mod orders;
+mod place;
+mod preempt;
+mod progress;
+mod report;
+mod schedule;
+
+pub use book::Book;
+pub use book::Terms;
+pub use book::Unwritten;
+pub use job::Advice;
+pub use job::Error;
+pub use job::Id;
+pub use job::Job;
+pub use job::Repeat;
+pub use job::Resources;
+pub use job::Step;
+pub use job::Task;
+pub use job::Text;
+pub use orders::Orders;
+pub use orders::Start;
+pub use orders::Stop;
+pub use progress::Outcome;
+pub use progress::Place;
+pub use progress::Progress;
+pub use progress::Unit as UnitProgress;
+pub use progress::UnitKey;
+pub use report::AgentId;
+pub use report::Ended;
+pub use report::How;
+pub use report::Life;
+pub use report::Lists;
+pub use report::Refusal;
+pub use report::Refused;
+pub use report::Report;
+pub use report::Running;
+pub use report::Worker as WorkerReport;
+
+use std::time::Instant;
+use std::time::SystemTime;
+
+/// The number of a unit's start, counted from 1.
+pub type Run = u32;
+
+/// A point in time on both clocks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Moment {
+    /// The steady clock, for everything that is waited for.
+    pub now: Instant,
+    /// The time of day, for what falls due at a time of day.
+    pub wall: SystemTime,
+}
+
+impl Moment {
+    /// Returns the present.
+    pub fn present() -> Moment {
+        Moment {
+            now: Instant::now(),
+            wall: SystemTime::now(),
+        }
+    }
+}
--- /dev/null
+++ b/src/graph/place.rs
@@ -0,0 +1,235 @@
+//! Where a unit's tasks may go.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::graph::book::Entry;
+use crate::graph::book::Unit;
+use crate::graph::book::Worker;
+use crate::graph::AgentId;
+use crate::graph::Book;
+use crate::graph::Id;
+use crate::graph::Moment;
+use crate::graph::Place;
+use crate::graph::Resources;
+use crate::graph::Text;
+use crate::graph::UnitKey;
+
+/// The share of what a far run costs more that is waited for a near place.
+const WAIT_FOR_NEAR: f64 = 0.5;
+
+/// What a unit needs.
+#[derive(Clone, Debug)]
+pub(super) struct Request {
+    pub id: Id,
+    pub key: UnitKey,
+    pub account: Text,
+    pub priority: u32,
+    pub pool: Text,
+    pub width: u32,
+    pub charge: Resources,
+    pub label: Option<Text>,
+    pub data_rack: Option<Text>,
+    pub same_rack: bool,
+    pub per_worker: Option<u32>,
+    pub guarded: bool,
+    pub avoid: Vec<AgentId>,
+    pub ready: Instant,
+    pub estimate: Duration,
+}
+
+impl Request {
+    pub fn new(
+        entry: &Entry,
+        key: &UnitKey,
+        unit: &Unit,
+        _now: Moment,
+    ) -> Request {
+        let step = &entry.job.steps[key.step];
+        Request {
+            id: entry.job.id.clone(),
+            key: *key,
+            account: entry.job.account.clone(),
+            priority: entry.job.priority,
+            pool: entry.job.pool.clone(),
+            width: entry.width(key),
+            charge: step.charge(),
+            label: step.label.clone(),
+            data_rack: step.data_rack.clone(),
+            same_rack: step.gang && step.same_rack,
+            per_worker: step.per_worker,
+            guarded: entry.job.guarded,
+            avoid: unit.avoid.clone(),
+            ready: unit.ready,
+            estimate: step.estimate,
+        }
+    }
+
+    /// Returns whether a rack is one where the unit is not slow.
+    pub fn near(&self, rack: &Text) -> bool {
+        self.data_rack.as_ref().is_none_or(|data| data == rack)
+    }
+}
+
+/// A worker that a unit may use.
+#[derive(Clone, Debug)]
+pub(super) struct Candidate {
+    pub place: Place,
+    pub rack: Text,
+    pub free: Resources,
+    /// How many tasks of the unit's step it may still take.
+    pub quota: u32,
+    /// What speaks against it, the lower the better.
+    pub doubt: usize,
+}
+
+impl Candidate {
+    /// Returns how many tasks fit.
+    pub fn slots(&self, charge: &Resources) -> u32 {
+        let mut free = self.free;
+        let mut slots = 0;
+        while slots < self.quota && free.holds(charge) {
+            free = free.minus(charge);
+            slots += 1;
+        }
+        slots
+    }
+}
+
+impl Book {
+    /// Returns a place for each member, if there is room now.
+    pub(super) fn place(
+        &self,
+        request: &Request,
+        now: Moment,
+    ) -> Option<Vec<Place>> {
+        let candidates = self.candidates(request, now);
+        for racks in self.choices(request, &candidates, now) {
+            let chosen = candidates
+                .iter()
+                .filter(|c| racks.as_ref().is_none_or(|r| r.contains(&c.rack)))
+                .cloned()
+                .collect();
+            if let Some(places) = fill(request, chosen) {
+                return Some(places);
+            }
+        }
+        None
+    }
+
+    /// Returns the sets of racks to try in turn; `None` is all of them.
+    pub(super) fn choices(
+        &self,
+        request: &Request,
+        candidates: &[Candidate],
+        now: Moment,
+    ) -> Vec<Option<BTreeSet<Text>>> {
+        let mut racks: BTreeMap<Text, u32> = BTreeMap::new();
+        for candidate in candidates {
+            *racks.entry(candidate.rack.clone()).or_default() +=
+                candidate.slots(&request.charge);
+        }
+        let mut choices = Vec::new();
+        let near = racks.iter().filter(|(rack, _)| request.near(rack));
+        if request.same_rack {
+            let mut near: Vec<(&Text, &u32)> = near.collect();
+            // The tightest rack that has room goes first.
+            near.sort_by_key(|(_, slots)| **slots);
+            choices.extend(
+                near.iter().map(|(rack, _)| Some([(*rack).clone()].into())),
+            );
+        } else if request.data_rack.is_some() {
+            choices.push(Some(near.map(|(rack, _)| rack.clone()).collect()));
+        }
+        let dear = request.estimate.mul_f64((self.terms.far - 1.0).max(0.0));
+        let patient = request.ready + dear.mul_f64(WAIT_FOR_NEAR);
+        if choices.is_empty() || now.now >= patient {
+            choices.push(None);
+        }
+        choices
+    }
+
+    /// Returns the workers that a unit may use, whatever room they have.
+    pub(super) fn candidates(
+        &self,
+        request: &Request,
+        now: Moment,
+    ) -> Vec<Candidate> {
+        let sound: Vec<(&AgentId, &Worker)> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| self.usable(worker, request, now))
+            .collect();
+        let untried = |agent: &AgentId| !request.avoid.contains(agent);
+        let any_untried = sound.iter().any(|(agent, _)| untried(agent));
+        sound
+            .into_iter()
+            .filter(|(agent, _)| !any_untried || untried(agent))
+            .map(|(agent, worker)| Candidate {
+                place: Place {
+                    agent: agent.clone(),
+                    life: worker.life.clone(),
+                },
+                rack: worker.rack.clone(),
+                free: worker.free(),
+                quota: self.quota(request, agent),
+                doubt: worker.health.doubt(),
+            })
+            .collect()
+    }
+
+    fn usable(&self, worker: &Worker, request: &Request, now: Moment) -> bool {
+        let label = request.label.as_ref();
+        worker.pool == request.pool
+            && !worker.leaving
+            && !worker.gone
+            && !worker.health.apart(now.now)
+            && now.now < worker.granted + self.terms.contact
+            && label.is_none_or(|label| worker.labels.contains(label))
+            && worker.capacity.holds(&request.charge)
+    }
+
+    /// Returns how many more tasks of a step a worker may take.
+    fn quota(&self, request: &Request, agent: &AgentId) -> u32 {
+        let Some(most) = request.per_worker else {
+            return u32::MAX;
+        };
+        let Some(entry) = self.jobs.get(&request.id) else {
+            return 0;
+        };
+        let here = entry
+            .units
+            .iter()
+            .filter(|(key, _)| {
+                key.time == request.key.time && key.step == request.key.step
+            })
+            .flat_map(|(_, unit)| unit.members())
+            .filter(|member| member.place.agent == *agent)
+            .count();
+        most.saturating_sub(here as u32)
+    }
+}
+
+/// Returns a place for each member on the given workers, the fullest that
+/// still fit going first so that whole workers stay free.
+pub(super) fn fill(
+    request: &Request,
+    mut candidates: Vec<Candidate>,
+) -> Option<Vec<Place>> {
+    let mut places = Vec::new();
+    for _ in 0..request.width {
+        let best = candidates
+            .iter_mut()
+            .filter(|c| c.quota > 0 && c.free.holds(&request.charge))
+            .min_by_key(|c| {
+                let left = c.free.minus(&request.charge);
+                (c.doubt, left.accelerators, left.cpu)
+            })?;
+        best.free = best.free.minus(&request.charge);
+        best.quota -= 1;
+        places.push(best.place.clone());
+    }
+    Some(places)
+}
--- /dev/null
+++ b/src/graph/report.rs
@@ -0,0 +1,144 @@
+//! What an agent says of its worker.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::graph::Resources;
+use crate::graph::Run;
+use crate::graph::Task;
+use crate::graph::Text;
+
+/// The name of an agent.
+pub type AgentId = Arc<str>;
+/// The name of one life of a worker.
+pub type Life = Arc<str>;
+
+/// How a run of a task ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum How {
+    /// It ran to its end.
+    Done,
+    /// It failed, by its own fault or the worker's.
+    Failed,
+    /// It was told to stop.
+    Stopped,
+    /// The worker's lease ran out.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// The other members of its gang did not come.
+    Alone,
+}
+
+/// A task that runs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Running {
+    /// The task.
+    pub task: Task,
+    /// Which run of it.
+    pub run: Run,
+    /// Its last checkpoint.
+    pub saved: String,
+    /// How much of it is done, 0 to 100.
+    pub percent: f64,
+}
+
+/// A run that has ended.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ended {
+    /// Counts the ends of the worker's life.
+    pub number: u64,
+    /// The task.
+    pub task: Task,
+    /// Which run of it.
+    pub run: Run,
+    /// How it ended.
+    pub how: How,
+    /// Its last checkpoint.
+    pub saved: String,
+}
+
+/// Why a worker did not start a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Refusal {
+    /// The run, or a later one, was stopped or has ended there, or never
+    /// will start there.
+    Barred,
+    /// There is no room.
+    Room,
+    /// The worker is leaving.
+    Leaving,
+    /// The worker takes nothing at present.
+    Unhealthy,
+    /// The worker calls the order wrong.
+    Invalid,
+    /// The leave to run there has run out.
+    Ticket,
+}
+
+/// A start that has not happened, and will not.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Refused {
+    /// The task.
+    pub task: Task,
+    /// Which run of it.
+    pub run: Run,
+    /// Why.
+    pub why: Refusal,
+}
+
+/// What a worker lists; both lists were read at one moment.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Lists {
+    /// What runs.
+    pub running: Vec<Running>,
+    /// What has ended and is not yet acknowledged.
+    pub ended: Vec<Ended>,
+}
+
+/// A worker as its agent knows it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Worker {
+    /// Its life.
+    pub life: Life,
+    /// The pool it belongs to.
+    pub pool: Text,
+    /// The machine it runs on, for the cloud's calls.
+    pub machine: Option<Text>,
+    /// Its hall.
+    pub hall: Text,
+    /// Its rack.
+    pub rack: Text,
+    /// Its labels.
+    pub labels: Vec<Text>,
+    /// Its whole room.
+    pub capacity: Resources,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// How long at least it stays, while it is leaving, in ms.
+    pub remaining_ms: Option<u64>,
+    /// What it lists.
+    pub lists: Lists,
+    /// Starts that it has refused, or that were stopped before they were.
+    pub refused: Vec<Refused>,
+}
+
+/// What an agent says.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The agent.
+    pub agent: AgentId,
+    /// The life of its process, drawn anew at each start.
+    pub process: String,
+    /// Rises with each report of this process.
+    pub sequence: u64,
+    /// A life of its worker that is over.
+    #[serde(default)]
+    pub gone: Option<Life>,
+    /// Its worker, if there is one and its lists are known.
+    pub worker: Option<Worker>,
+}
--- /dev/null
+++ b/src/graph/schedule.rs
@@ -0,0 +1,294 @@
+//! Which units are started next, and when.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::graph::book::Entry;
+use crate::graph::book::Member;
+use crate::graph::book::Phase;
+use crate::graph::book::State;
+use crate::graph::book::Unit;
+use crate::graph::book::Why;
+use crate::graph::place::Request;
+use crate::graph::Book;
+use crate::graph::Id;
+use crate::graph::Moment;
+use crate::graph::Place;
+use crate::graph::UnitKey;
+
+/// How long before a leaving worker is gone its tasks are stopped, so that
+/// their checkpoints are kept: a stop, and a report of it.
+const BEFORE_LEAVING: Duration = Duration::from_millis(1500);
+/// The times of a job that may be open at once.
+const OPEN_TIMES: u32 = 64;
+
+/// A unit that waits, with what puts it in order.
+struct Waiting {
+    id: Id,
+    key: UnitKey,
+    /// Priority 0 goes first, what can no longer be of use last.
+    class: u8,
+    /// The instant by which it would have to start to be in time.
+    latest: Instant,
+}
+
+impl Book {
+    /// Decides what is to be started and stopped now.
+    pub fn step(&mut self, now: Moment) {
+        self.lose_silent(now);
+        self.stop_stuck(now);
+        self.leave(now);
+        self.open_units(now);
+        self.start_reserved(now);
+        for unit in self.waiting(now) {
+            self.try_place(&unit, now);
+        }
+    }
+
+    /// Opens the units whose time is due and whose steps are waited for no
+    /// longer.
+    fn open_units(&mut self, now: Moment) {
+        for id in &self.open {
+            let Some(entry) = self.jobs.get_mut(id) else {
+                continue;
+            };
+            if entry.over() {
+                continue;
+            }
+            for time in 0..entry.job.times() {
+                if entry.job.due(time) > now.wall {
+                    break;
+                }
+                open_time(entry, time, now.now);
+            }
+        }
+    }
+
+    /// Stops checkpointing tasks on workers that are about to go.
+    fn leave(&mut self, now: Moment) {
+        let going: Vec<Place> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| {
+                let soon = |stays| now.now + BEFORE_LEAVING >= stays;
+                worker.leaving && worker.stays.is_some_and(soon)
+            })
+            .map(|(agent, worker)| Place {
+                agent: agent.clone(),
+                life: worker.life.clone(),
+            })
+            .collect();
+        if going.is_empty() {
+            return;
+        }
+        let mut stops = Vec::new();
+        for entry in self.live() {
+            for (key, unit) in &entry.units {
+                let step = &entry.job.steps[key.step];
+                let here = unit.members().any(|m| going.contains(&m.place));
+                if here && step.checkpoints && unit.stop.is_none() {
+                    stops.push((entry.job.id.clone(), *key));
+                }
+            }
+        }
+        for (id, key) in stops {
+            self.stop_unit(&id, &key, Why::Leaving, now);
+        }
+    }
+
+    /// Starts the units whose reserved room has become free.
+    fn start_reserved(&mut self, now: Moment) {
+        let mut ready = Vec::new();
+        for entry in self.live() {
+            for (key, unit) in &entry.units {
+                if let Phase::Reserved(members) = &unit.phase {
+                    if members.iter().all(|m| self.fits_now(&m.place)) {
+                        ready.push((entry.job.id.clone(), *key));
+                    }
+                }
+            }
+        }
+        for (id, key) in ready {
+            let unit = self
+                .jobs
+                .get_mut(&id)
+                .and_then(|entry| entry.units.get_mut(&key));
+            let Some(unit) = unit else {
+                continue;
+            };
+            if let Phase::Reserved(members) = std::mem::take(&mut unit.phase) {
+                let places = members.into_iter().map(|m| m.place).collect();
+                self.give_run(&id, &key, places, now);
+            }
+        }
+    }
+
+    /// Returns whether a worker holds no more than it has room for.
+    fn fits_now(&self, place: &Place) -> bool {
+        self.workers.get(&place.agent).is_some_and(|worker| {
+            worker.life == place.life && worker.capacity.holds(&worker.used)
+        })
+    }
+
+    fn waiting(&self, now: Moment) -> Vec<Waiting> {
+        let mut waiting = Vec::new();
+        for id in &self.open {
+            let Some(entry) = self.jobs.get(id) else {
+                continue;
+            };
+            if entry.over() {
+                continue;
+            }
+            let (class, latest) = self.urgency(entry, now);
+            let units = entry.units.iter().filter(|(_, unit)| {
+                matches!(unit.phase, Phase::Waiting)
+                    && unit.not_before <= now.now
+            });
+            waiting.extend(units.map(|(key, _)| Waiting {
+                id: id.clone(),
+                key: *key,
+                class,
+                latest,
+            }));
+        }
+        waiting.sort_by(|a, b| {
+            (a.class, a.latest, &a.id, a.key)
+                .cmp(&(b.class, b.latest, &b.id, b.key))
+        });
+        waiting
+    }
+
+    /// Returns how soon a job must go on.
+    fn urgency(&self, entry: &Entry, now: Moment) -> (u8, Instant) {
+        let job = &entry.job;
+        let chain = job.chain();
+        let objective = chain.mul_f64(job.stretch.max(1.0)) + job.target;
+        let latest = entry.accepted + objective.saturating_sub(chain);
+        let hopeless = entry.accepted + objective * 3;
+        let class = match job.priority {
+            0 => 0,
+            _ if now.now >= hopeless => 2,
+            _ => 1,
+        };
+        (class, latest)
+    }
+
+    fn try_place(&mut self, waiting: &Waiting, now: Moment) {
+        let Some(entry) = self.jobs.get(&waiting.id) else {
+            return;
+        };
+        let Some(unit) = entry.units.get(&waiting.key) else {
+            return;
+        };
+        if !matches!(unit.phase, Phase::Waiting) {
+            return;
+        }
+        let request = Request::new(entry, &waiting.key, unit, now);
+        if let Some(places) = self.place(&request, now) {
+            self.give_run(&waiting.id, &waiting.key, places, now);
+        } else if request.priority == 0 {
+            self.preempt(&waiting.id, &waiting.key, &request, now);
+        }
+    }
+
+    /// Gives a unit its next run, on workers that have room for it.
+    pub(super) fn give_run(
+        &mut self,
+        id: &str,
+        key: &UnitKey,
+        places: Vec<Place>,
+        now: Moment,
+    ) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let version = entry.version + 1;
+        let charge = entry.job.steps[key.step].charge();
+        let kept = entry.progress.units.entry(*key).or_default();
+        kept.run += 1;
+        kept.from.clone_from(&kept.saved);
+        kept.on.clone_from(&places);
+        let run = kept.run;
+        let Some(unit) = entry.units.get_mut(key) else {
+            return;
+        };
+        let reserved = matches!(unit.phase, Phase::Reserved(_));
+        debug_assert!(!reserved, "its phase was taken");
+        let members = members(key, &places, State::Ordered(version), now);
+        unit.phase = Phase::Running(members);
+        unit.stop = None;
+        self.touch(id);
+        for place in &places {
+            self.occupy(place, &charge);
+        }
+        let lives: Vec<&str> = places.iter().map(|p| &*p.life).collect();
+        self.note(format!("unit {id}.{key} gets run {run} on {lives:?}"));
+    }
+
+    /// Keeps room for a unit that others are leaving.
+    pub(super) fn reserve(
+        &mut self,
+        id: &str,
+        key: &UnitKey,
+        places: Vec<Place>,
+        now: Moment,
+    ) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let charge = entry.job.steps[key.step].charge();
+        let Some(unit) = entry.units.get_mut(key) else {
+            return;
+        };
+        unit.phase =
+            Phase::Reserved(members(key, &places, State::Ordered(0), now));
+        for place in &places {
+            self.occupy(place, &charge);
+        }
+        self.note(format!("unit {id}.{key} reserves room"));
+    }
+}
+
+fn members(
+    key: &UnitKey,
+    places: &[Place],
+    state: State,
+    now: Moment,
+) -> Vec<Member> {
+    let member = |(at, place): (usize, &Place)| Member {
+        index: key.index.unwrap_or(at as u32),
+        place: place.clone(),
+        state,
+        handed: false,
+        since: now.now,
+        percent: 0.0,
+        moved: now.now,
+    };
+    places.iter().enumerate().map(member).collect()
+}
+
+/// Opens the steps of one time that wait for nothing any more.
+fn open_time(entry: &mut Entry, time: u32, now: Instant) {
+    if entry.opened.len() as u32 > OPEN_TIMES * entry.job.steps.len() as u32 {
+        return;
+    }
+    for step in 0..entry.job.steps.len() {
+        if entry.opened.contains(&(time, step)) {
+            continue;
+        }
+        let job = entry.job.clone();
+        let terms = &job.steps[step];
+        if !terms.after.iter().all(|on| entry.step_done(time, *on)) {
+            continue;
+        }
+        entry.opened.insert((time, step));
+        let indices: Vec<Option<u32>> = match terms.gang {
+            true => vec![None],
+            false => (0..terms.replicas).map(Some).collect(),
+        };
+        for index in indices {
+            let key = UnitKey { time, step, index };
+            entry.units.entry(key).or_insert_with(|| Unit::new(now));
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -97,9 +97,11 @@
 
 pub mod account;
 pub mod agent;
+pub mod cell;
 pub mod config;
 pub mod endpoint;
 pub mod entry;
+pub mod graph;
 pub mod http;
 pub mod job;
 pub mod log;
--- a/src/log.rs
+++ b/src/log.rs
@@ -21,7 +21,8 @@
     Json,
 }
 
-/// Returns a logger that writes to standard error, off the caller's thread.
+/// Returns a logger that writes off the caller's thread: text for people to
+/// standard error, JSON for collectors to standard output.
 ///
 /// # Examples
 ///
@@ -40,7 +41,7 @@
             Box::new(Mutex::new(out.fuse()).fuse())
         }
         Format::Json => {
-            let out = slog_json::Json::default(std::io::stderr());
+            let out = slog_json::Json::default(std::io::stdout());
             Box::new(Mutex::new(out.fuse()).fuse())
         }
     };
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -10,6 +10,7 @@
 
 use crate::http;
 use crate::store::api;
+use crate::store::Changes;
 use crate::store::LeaseId;
 use crate::store::Revision;
 use crate::telemetry::metrics;
@@ -28,6 +29,9 @@
     /// It may have had its effect: only reading back tells.
     #[error("the store's answer is lost: {0}")]
     Lost(http::Error),
+    /// The changes asked for are no longer kept: read all anew.
+    #[error("the store's history after revision {0} is gone")]
+    Forgotten(Revision),
 }
 
 impl From<http::Error> for Error {
@@ -293,6 +297,71 @@
     }
 }
 
+impl crate::store::Store for Client {
+    async fn get(&self, key: &str) -> Result<Option<Item>, Error> {
+        Client::get(self, key).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing, Error> {
+        Client::list(self, prefix, 0).await
+    }
+
+    async fn swap(
+        &self,
+        conditions: &[Compare],
+        puts: Vec<Put>,
+    ) -> Result<Swap, Error> {
+        Client::swap(self, conditions, puts).await
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<LeaseId, Error> {
+        Client::grant(self, ttl).await
+    }
+
+    async fn keep_alive(&self, lease: LeaseId) -> Result<bool, Error> {
+        Client::keep_alive(self, lease).await
+    }
+
+    async fn revoke(&self, lease: LeaseId) -> Result<(), Error> {
+        Client::revoke(self, lease).await
+    }
+
+    async fn changes(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Changes, Error> {
+        let none = Changes {
+            revision: after,
+            changes: Vec::new(),
+        };
+        let mut watch = self.watch(prefix, after + 1).await?;
+        let deadline = Instant::now() + wait;
+        loop {
+            let next = tokio::time::timeout_at(deadline, watch.next());
+            let changes = match next.await {
+                Ok(changes) => changes?,
+                Err(_) => return Ok(none),
+            };
+            let last = changes.iter().map(Change::revision).max();
+            if let Some(revision) = last {
+                return Ok(Changes { revision, changes });
+            }
+        }
+    }
+}
+
+impl Change {
+    /// Returns at which revision it was made.
+    pub fn revision(&self) -> Revision {
+        match self {
+            Change::Put(item) => item.modified,
+            Change::Deleted(_, revision) => *revision,
+        }
+    }
+}
+
 /// A stream of changes.
 pub struct Watch {
     stream: http::Stream,
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -16,6 +16,70 @@
 pub use client::Swap;
 pub use client::Watch;
 
+use std::future::Future;
+use std::time::Duration;
+
+/// What the product needs of a store; each platform's client offers it.
+///
+/// An [`Error::Unreached`] says that the call had no effect, any other that
+/// it may have had, or may yet have.
+pub trait Store: Clone + Send + Sync + 'static {
+    /// Returns a key, if it is there.
+    fn get(
+        &self,
+        key: &str,
+    ) -> impl Future<Output = Result<Option<Item>, Error>> + Send;
+
+    /// Returns all keys that start with `prefix`.
+    fn list(
+        &self,
+        prefix: &str,
+    ) -> impl Future<Output = Result<Listing, Error>> + Send;
+
+    /// Writes `puts` if all of `conditions` hold, all or nothing.
+    fn swap(
+        &self,
+        conditions: &[Compare],
+        puts: Vec<Put>,
+    ) -> impl Future<Output = Result<Swap, Error>> + Send;
+
+    /// Takes a lease for `ttl`.
+    fn grant(
+        &self,
+        ttl: Duration,
+    ) -> impl Future<Output = Result<LeaseId, Error>> + Send;
+
+    /// Prolongs a lease; returns whether it was still there.
+    fn keep_alive(
+        &self,
+        lease: LeaseId,
+    ) -> impl Future<Output = Result<bool, Error>> + Send;
+
+    /// Gives a lease up, with the keys that hang on it.
+    fn revoke(
+        &self,
+        lease: LeaseId,
+    ) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Waits up to `wait` for changes after a revision to the keys that
+    /// start with `prefix`; returns none if there were none.
+    fn changes(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Changes, Error>> + Send;
+}
+
+/// Changes, and the revision up to which they are whole.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Changes {
+    /// From which revision to go on.
+    pub revision: Revision,
+    /// The changes, in their order.
+    pub changes: Vec<Change>,
+}
+
 /// The number of a lease.
 pub type LeaseId = i64;
 /// The number of a write, counted over the whole store.
--- a/tests/it/examples.rs
+++ b/tests/it/examples.rs
@@ -9,7 +9,7 @@
 use landingvalve::config::Template;
 use landingvalve::job;
 use landingvalve::site::Site;
-use landingvalve_platform::site::Plan;
+use landingvalve_standin::site::Plan;
 
 fn read<T: serde::de::DeserializeOwned>(site: &str, name: &str) -> T {
     let root = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
--- a/tests/it/promises.rs
+++ b/tests/it/promises.rs
@@ -9,8 +9,8 @@
 use landingvalve::job::Outcome;
 use landingvalve::wire::entry::Stage;
 use landingvalve::wire::entry::Status;
-use landingvalve_platform::site::OPERATOR;
-use landingvalve_platform::store::Fault;
+use landingvalve_standin::site::OPERATOR;
+use landingvalve_standin::store::Fault;
 use serde_json::json;
 use tokio::time::Instant;
 
@@ -511,7 +511,7 @@
         .unwrap();
     let status = support::reaches(&url, "a.r", Stage::Running).await;
     let worker = status.workers[0].to_string();
-    let places = landingvalve_platform::site::Plan::today(1).places();
+    let places = landingvalve_standin::site::Plan::today(1).places();
     let place = places.iter().find(|place| place[2] == worker).unwrap();
 
     site.kill_agent(&worker);
--- a/tests/it/session.rs
+++ b/tests/it/session.rs
@@ -3,7 +3,7 @@
 use expect_test::expect_file;
 use hyper::Method;
 use landingvalve::wire::entry::Stage;
-use landingvalve_platform::site::OPERATOR;
+use landingvalve_standin::site::OPERATOR;
 use serde_json::json;
 use serde_json::Value;
 
--- a/tests/it/whole_path.rs
+++ b/tests/it/whole_path.rs
@@ -5,7 +5,7 @@
 use landingvalve::job::Outcome;
 use landingvalve::util::digest;
 use landingvalve::wire::entry::Status;
-use landingvalve_platform::site::OPERATOR;
+use landingvalve_standin::site::OPERATOR;
 use serde_json::json;
 
 use crate::support;
