Give kept room back whole when its unit begins

Change: unreserve before a run is given; room is kept for any unit that has waited 1.5 s, on at most 35% of a pool's workers; members of a gang that is done are not stopped. Test graph::room_kept_for_an_urgent_job fails without.

--- a/src/cell/planner.rs
+++ b/src/cell/planner.rs
@@ -233,7 +233,8 @@
             Ok(job) => {
                 let progress = self.kept.remove(id);
                 slog::info!(self.log, "planner: a job is taken in";
-                    "job" => id, "known" => progress.is_some());
+                    "job" => id, "known" => progress.is_some(),
+                    "steps" => ?job.steps, "repeat" => ?job.repeat);
                 self.book.accept(job, progress, now);
             }
             Err(error) => slog::error!(self.log,
--- a/src/graph/book.rs
+++ b/src/graph/book.rs
@@ -423,7 +423,13 @@
         }
         entry.progress.outcome = Some(outcome);
         entry.progress.ended = Some(now.wall);
-        let keys: Vec<UnitKey> = entry.units.keys().copied().collect();
+        // The members of a gang that is done end by themselves.
+        let done = |key: &&UnitKey| {
+            let kept = entry.progress.units.get(key);
+            kept.is_some_and(|kept| kept.done)
+        };
+        let keys = entry.units.keys().filter(|key| !done(key));
+        let keys: Vec<UnitKey> = keys.copied().collect();
         for key in keys {
             self.stop_unit(id, &key, Why::Over, now);
         }
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -475,18 +475,12 @@
         let Some(entry) = self.jobs.get_mut(id) else {
             return;
         };
-        let charge = entry.job.steps[key.step].charge();
         let Some(unit) = entry.units.get_mut(key) else {
             return;
         };
         match &unit.phase {
-            Phase::Reserved(members) => {
-                let places: Vec<Place> =
-                    members.iter().map(|m| m.place.clone()).collect();
-                unit.phase = Phase::Waiting;
-                for place in places {
-                    self.vacate(&place, &charge);
-                }
+            Phase::Reserved(_) => {
+                self.unreserve(id, key);
             }
             Phase::Running(_) if unit.stop.is_none() => {
                 unit.stop = Some(why);
@@ -536,10 +530,31 @@
         for (id, key, at) in lost {
             self.end_member(&id, &key, at, End::Gone, now);
         }
-        self.unreserve(gone, now);
+        self.unreserve_lost(gone, now);
+    }
+
+    /// Gives up the room that is kept for a unit; returns where it was.
+    pub(super) fn unreserve(&mut self, id: &str, key: &UnitKey) -> Vec<Place> {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return Vec::new();
+        };
+        let charge = entry.job.steps[key.step].charge();
+        let Some(unit) = entry.units.get_mut(key) else {
+            return Vec::new();
+        };
+        let Phase::Reserved(members) = &unit.phase else {
+            return Vec::new();
+        };
+        let places: Vec<Place> =
+            members.iter().map(|m| m.place.clone()).collect();
+        unit.phase = Phase::Waiting;
+        for place in &places {
+            self.vacate(place, &charge);
+        }
+        places
     }
 
-    fn unreserve(&mut self, gone: impl Fn(&Place) -> bool, now: Moment) {
+    fn unreserve_lost(&mut self, gone: impl Fn(&Place) -> bool, now: Moment) {
         let mut given_up = Vec::new();
         for entry in self.live() {
             for (key, unit) in &entry.units {
--- a/src/graph/mod.rs
+++ b/src/graph/mod.rs
@@ -22,6 +22,7 @@
 mod preempt;
 mod progress;
 mod report;
+mod reserve;
 mod schedule;
 
 pub use book::Book;
--- /dev/null
+++ b/src/graph/reserve.rs
@@ -0,0 +1,180 @@
+//! Room kept for units that would else never find enough of it at once.
+//!
+//! Small tasks fill every gap as soon as it opens. A unit that has waited
+//! is therefore promised the workers that will have room for it first:
+//! nothing new is placed there until it has begun.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::graph::book::Entry;
+use crate::graph::book::Member;
+use crate::graph::book::Phase;
+use crate::graph::place::Candidate;
+use crate::graph::place::Request;
+use crate::graph::Book;
+use crate::graph::Id;
+use crate::graph::Moment;
+use crate::graph::Place;
+use crate::graph::Resources;
+use crate::graph::UnitKey;
+
+/// How long a unit waits before room is kept for it.
+const PATIENCE: Duration = Duration::from_millis(1500);
+/// The share of a pool's workers on which room is kept at a time.
+const SHARE: f64 = 0.35;
+/// The least time that a run is expected to go on for.
+const LEAST: Duration = Duration::from_millis(200);
+
+/// When something that runs on a worker is expected to end.
+#[derive(Clone, Copy, Debug)]
+struct Release {
+    at: Instant,
+    charge: Resources,
+}
+
+impl Book {
+    /// Keeps room for a unit that finds no place, if it has waited and not
+    /// too much is kept already.
+    pub(super) fn keep_room(
+        &mut self,
+        id: &Id,
+        key: &UnitKey,
+        request: &Request,
+        now: Moment,
+    ) {
+        if now.now < request.ready + PATIENCE {
+            return;
+        }
+        let candidates = self.candidates(request, now);
+        let kept = self.kept_workers(request);
+        let most = (candidates.len() as f64 * SHARE).ceil() as usize;
+        if kept.len() >= most {
+            return;
+        }
+        let best = self
+            .choices(request, &candidates, now)
+            .into_iter()
+            .filter_map(|racks| {
+                let chosen: Vec<Candidate> = candidates
+                    .iter()
+                    .filter(|c| {
+                        racks.as_ref().is_none_or(|r| r.contains(&c.rack))
+                    })
+                    .cloned()
+                    .collect();
+                self.soonest(request, chosen, now)
+            })
+            .min_by_key(|(at, _)| *at);
+        if let Some((_, places)) = best {
+            self.reserve(id, key, places, now);
+        }
+    }
+
+    /// Returns the workers on which room is kept.
+    fn kept_workers(&self, request: &Request) -> Vec<Place> {
+        let mut kept = Vec::new();
+        for entry in self.live() {
+            if entry.job.pool != request.pool {
+                continue;
+            }
+            let reserved = entry
+                .units
+                .values()
+                .filter(|unit| matches!(unit.phase, Phase::Reserved(_)));
+            for member in reserved.flat_map(|unit| unit.members()) {
+                if !kept.contains(&member.place) {
+                    kept.push(member.place.clone());
+                }
+            }
+        }
+        kept
+    }
+
+    /// Returns the places that have room for a unit first, and when.
+    fn soonest(
+        &self,
+        request: &Request,
+        candidates: Vec<Candidate>,
+        now: Moment,
+    ) -> Option<(Instant, Vec<Place>)> {
+        let mut workers: Vec<(Candidate, Vec<Release>)> = candidates
+            .into_iter()
+            .map(|candidate| {
+                let releases = self.releases(&candidate.place, now);
+                (candidate, releases)
+            })
+            .collect();
+        let mut last = now.now;
+        let mut places = Vec::new();
+        for _ in 0..request.width {
+            let (at, worker) = workers
+                .iter_mut()
+                .filter(|(candidate, _)| candidate.quota > 0)
+                .filter_map(|worker| {
+                    let at = fits_at(request, &worker.0, &worker.1, now)?;
+                    Some((at, worker))
+                })
+                .min_by_key(|(at, _)| *at)?;
+            worker.0.free = worker.0.free.minus(&request.charge);
+            worker.0.quota -= 1;
+            places.push(worker.0.place.clone());
+            last = last.max(at);
+        }
+        Some((last, places))
+    }
+
+    /// Returns what runs on a worker, by when it is expected to end.
+    fn releases(&self, place: &Place, now: Moment) -> Vec<Release> {
+        let mut releases = Vec::new();
+        for entry in self.live() {
+            for (key, unit) in &entry.units {
+                if !matches!(unit.phase, Phase::Running(_)) {
+                    continue;
+                }
+                let here = unit.members().filter(|m| m.place == *place);
+                releases.extend(here.map(|member| Release {
+                    at: expected(entry, key, member, now),
+                    charge: entry.job.steps[key.step].charge(),
+                }));
+            }
+        }
+        releases.sort_by_key(|release| release.at);
+        releases
+    }
+}
+
+/// Returns when a member is expected to end.
+fn expected(
+    entry: &Entry,
+    key: &UnitKey,
+    member: &Member,
+    now: Moment,
+) -> Instant {
+    let ran = now.now.saturating_duration_since(member.since);
+    let left = match member.percent {
+        percent if percent >= 1.0 => ran.mul_f64(100.0 / percent - 1.0),
+        _ => entry.job.steps[key.step].estimate.saturating_sub(ran),
+    };
+    now.now + left.max(LEAST)
+}
+
+/// Returns when a worker has room for one more member.
+fn fits_at(
+    request: &Request,
+    candidate: &Candidate,
+    releases: &[Release],
+    now: Moment,
+) -> Option<Instant> {
+    let mut free = candidate.free;
+    if free.holds(&request.charge) {
+        return Some(now.now);
+    }
+    for release in releases {
+        free = free.plus(&release.charge);
+        if free.holds(&request.charge) {
+            return Some(release.at);
+        }
+    }
+    None
+}
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -109,15 +109,8 @@
             }
         }
         for (id, key) in ready {
-            let unit = self
-                .jobs
-                .get_mut(&id)
-                .and_then(|entry| entry.units.get_mut(&key));
-            let Some(unit) = unit else {
-                continue;
-            };
-            if let Phase::Reserved(members) = std::mem::take(&mut unit.phase) {
-                let places = members.into_iter().map(|m| m.place).collect();
+            let places = self.unreserve(&id, &key);
+            if !places.is_empty() {
                 self.give_run(&id, &key, places, now);
             }
         }
@@ -188,6 +181,8 @@
             self.give_run(&waiting.id, &waiting.key, places, now);
         } else if request.priority == 0 {
             self.preempt(&waiting.id, &waiting.key, &request, now);
+        } else {
+            self.keep_room(&waiting.id, &waiting.key, &request, now);
         }
     }
 
--- /dev/null
+++ b/tests/it/graph.rs
@@ -0,0 +1,294 @@
+//! The decisions about jobs of steps, without clock or network.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use landingvalve::graph::Book;
+use landingvalve::graph::Ended;
+use landingvalve::graph::How;
+use landingvalve::graph::Job;
+use landingvalve::graph::Lists;
+use landingvalve::graph::Moment;
+use landingvalve::graph::Orders;
+use landingvalve::graph::Outcome;
+use landingvalve::graph::Report;
+use landingvalve::graph::Resources;
+use landingvalve::graph::Running;
+use landingvalve::graph::Start;
+use landingvalve::graph::Step;
+use landingvalve::graph::Terms;
+use landingvalve::graph::WorkerReport;
+
+/// A worker that does what it is told.
+pub struct Worker {
+    pub agent: Arc<str>,
+    pub rack: &'static str,
+    pub life: u32,
+    pub sequence: u64,
+    pub running: Vec<Running>,
+    pub ended: Vec<Ended>,
+    pub number: u64,
+    pub noted: u64,
+    pub leaving: bool,
+    /// Every run that ever began here.
+    pub began: Vec<String>,
+}
+
+impl Worker {
+    fn new(agent: &str, rack: &'static str) -> Worker {
+        Worker {
+            agent: agent.into(),
+            rack,
+            life: 1,
+            sequence: 0,
+            running: Vec::new(),
+            ended: Vec::new(),
+            number: 0,
+            noted: 0,
+            leaving: false,
+            began: Vec::new(),
+        }
+    }
+
+    fn report(&mut self) -> Report {
+        self.sequence += 1;
+        Report {
+            agent: self.agent.clone(),
+            process: "process".to_owned(),
+            sequence: self.sequence,
+            gone: None,
+            worker: Some(WorkerReport {
+                life: format!("{}-{}", self.agent, self.life).into(),
+                pool: "pool".into(),
+                machine: None,
+                hall: "hall".into(),
+                rack: self.rack.into(),
+                labels: vec!["a".into(), self.rack.into()],
+                capacity: Resources {
+                    memory: 100_000,
+                    ..resources(64000, 8)
+                },
+                leaving: self.leaving,
+                remaining_ms: None,
+                lists: Lists {
+                    running: self.running.clone(),
+                    ended: self.ended.clone(),
+                },
+                refused: Vec::new(),
+            }),
+        }
+    }
+
+    fn start(&mut self, start: &Start) {
+        let known = self
+            .running
+            .iter()
+            .any(|r| r.task == start.task && r.run == start.run);
+        if known {
+            return;
+        }
+        self.began.push(format!("{} {}", start.task, start.run));
+        self.running.push(Running {
+            task: start.task.clone(),
+            run: start.run,
+            saved: String::new(),
+            percent: 0.0,
+        });
+    }
+
+    /// Ends what runs, for which `which` holds.
+    fn end(&mut self, how: How, which: impl Fn(&Running) -> bool) {
+        let (ending, going) = self.running.drain(..).partition(|r| which(r));
+        self.running = going;
+        let ending: Vec<Running> = ending;
+        for running in ending {
+            self.number += 1;
+            self.ended.push(Ended {
+                number: self.number,
+                task: running.task,
+                run: running.run,
+                how,
+                saved: String::new(),
+            });
+        }
+    }
+
+    fn obey(&mut self, orders: &Orders) {
+        for start in &orders.starts {
+            self.start(start);
+        }
+        for stop in &orders.stops {
+            let this = |r: &Running| r.task == stop.task && r.run == stop.run;
+            self.end(How::Stopped, this);
+        }
+        self.noted = self.noted.max(orders.noted);
+        let noted = self.noted;
+        self.ended.retain(|ended| ended.number > noted);
+    }
+}
+
+/// Books with workers, whose store writes at once.
+pub struct Site {
+    pub book: Book,
+    pub workers: Vec<Worker>,
+    pub now: Moment,
+}
+
+impl Site {
+    pub fn new(workers: &[(&str, &'static str)]) -> Site {
+        let now = Moment {
+            now: std::time::Instant::now(),
+            wall: SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000),
+        };
+        let workers = workers.iter().map(|(a, rack)| Worker::new(a, rack));
+        Site {
+            book: Book::new(Terms::default(), now),
+            workers: workers.collect(),
+            now,
+        }
+    }
+
+    pub fn pass(&mut self, time: Duration) {
+        self.now.now += time;
+        self.now.wall += time;
+    }
+
+    /// Writes what must be written.
+    pub fn write(&mut self) {
+        for job in self.book.unwritten(usize::MAX) {
+            self.book.written(&job.id, job.version);
+        }
+    }
+
+    /// Lets everybody report and obey, until nothing changes.
+    pub fn settle(&mut self) {
+        for _ in 0..6 {
+            for at in 0..self.workers.len() {
+                let report = self.workers[at].report();
+                self.book.report(report, self.now);
+            }
+            self.book.step(self.now);
+            self.write();
+            for worker in &mut self.workers {
+                let orders = self.book.orders(&worker.agent);
+                worker.obey(&orders);
+            }
+        }
+    }
+
+    pub fn submit(&mut self, job: Job) {
+        self.book.accept(job, None, self.now);
+    }
+
+    pub fn outcome(&self, id: &str) -> Option<Outcome> {
+        self.book.progress(id).and_then(|progress| progress.outcome)
+    }
+
+    pub fn running(&self, id: &str) -> usize {
+        let running = self.workers.iter().flat_map(|w| &w.running);
+        running.filter(|r| &*r.task.job == id).count()
+    }
+
+    fn end_all(&mut self, id: &str) {
+        for worker in &mut self.workers {
+            worker.end(How::Done, |r| &*r.task.job == id);
+        }
+    }
+}
+
+pub fn resources(cpu: i64, accelerators: i64) -> Resources {
+    Resources {
+        cpu,
+        memory: 1000,
+        accelerators,
+    }
+}
+
+pub fn step(replicas: u32, accelerators: i64, gang: bool) -> Step {
+    Step {
+        replicas,
+        resources: resources(1000, accelerators),
+        estimate: Duration::from_secs(5),
+        gang,
+        same_rack: gang,
+        ..Step::default()
+    }
+}
+
+pub fn job(id: &str, priority: u32, steps: Vec<Step>, site: &Site) -> Job {
+    Job {
+        id: id.into(),
+        account: "account".into(),
+        queue: "queue".into(),
+        pool: "pool".into(),
+        priority,
+        max_attempts: 3,
+        stretch: 3.0,
+        target: Duration::from_secs(1),
+        guarded: true,
+        accepted: site.now.wall,
+        spec: "spec".into(),
+        steps,
+        repeat: None,
+        advice: None,
+    }
+}
+
+const TWO: &[(&str, &str)] = &[("w1", "r1"), ("w2", "r1")];
+
+#[test]
+fn steps_wait_for_each_other_and_the_job_succeeds() {
+    let mut site = Site::new(TWO);
+    let mut second = step(1, 1, false);
+    second.after = vec![0];
+    let steps = vec![step(3, 1, false), second];
+    site.submit(job("j", 1, steps, &site));
+    site.settle();
+    assert_eq!(site.running("j"), 3);
+    site.end_all("j");
+    site.settle();
+    assert_eq!(site.running("j"), 1);
+    site.end_all("j");
+    site.settle();
+    assert_eq!(site.outcome("j"), Some(Outcome::Succeeded));
+}
+
+#[test]
+fn room_kept_for_an_urgent_job_is_given_back_whole() {
+    let mut site = Site::new(&[("w1", "r1")]);
+    for round in 0..5 {
+        let borrower = format!("b{round}");
+        site.submit(job(&borrower, 1, vec![step(8, 1, false)], &site));
+        site.settle();
+        assert_eq!(site.running(&borrower), 8, "round {round}");
+        let urgent = format!("u{round}");
+        site.submit(job(&urgent, 0, vec![step(1, 8, false)], &site));
+        site.settle();
+        assert_eq!(site.running(&urgent), 1, "round {round}");
+        site.end_all(&urgent);
+        site.pass(Duration::from_secs(1));
+        site.settle();
+        assert_eq!(site.running(&borrower), 8, "round {round}");
+        site.end_all(&borrower);
+        site.settle();
+    }
+}
+
+#[test]
+fn a_whole_worker_is_kept_for_a_unit_that_has_waited() {
+    let mut site = Site::new(&[("w1", "r1")]);
+    site.submit(job("a", 1, vec![step(8, 1, false)], &site));
+    site.settle();
+    site.submit(job("big", 1, vec![step(1, 8, false)], &site));
+    site.pass(Duration::from_secs(2));
+    site.settle();
+    site.submit(job("small", 1, vec![step(8, 1, false)], &site));
+    // The first job's tasks end one by one; no gap is filled meanwhile.
+    for _ in 0..8 {
+        let first = site.workers[0].running[0].task.clone();
+        site.workers[0].end(How::Done, |r| r.task == first);
+        site.settle();
+    }
+    assert_eq!((site.running("big"), site.running("small")), (1, 0));
+}
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod examples;
 mod gang_steps;
+mod graph;
 mod pages;
 mod plan_health;
 mod plan_mask;
