Learn the fencing token from the claim before the first report

Change: the claim's revision is the token, learnt with the claim; a planner is left only when its own token is called too low.

--- a/src/cell/member/act.rs
+++ b/src/cell/member/act.rs
@@ -15,6 +15,7 @@
 use crate::graph::Refusal;
 use crate::graph::Start;
 use crate::graph::Stop;
+use crate::store::Revision;
 use crate::store::Store;
 
 /// How long the answer to an order is waited for.
@@ -126,8 +127,7 @@
                 false
             }
             Ok(Err(Error::Fenced)) => {
-                self.lock().fenced = true;
-                self.0.news.notify_one();
+                self.fenced(call.token);
                 false
             }
             Ok(Err(Error::OtherLife | Error::Lost(_))) | Err(_) => false,
@@ -149,14 +149,20 @@
                 self.refuse(call, key, Refusal::Barred)
             }
             Ok(Err(Error::Fenced)) => {
-                self.lock().fenced = true;
-                self.0.news.notify_one();
+                self.fenced(call.token);
                 false
             }
             Ok(Err(_)) | Err(_) => false,
         }
     }
 
+    /// Notes that a token is too low: whoever holds it plans no more.
+    pub(super) fn fenced(&self, token: Revision) {
+        let mut state = self.lock();
+        state.fenced = state.fenced.max(token);
+        self.0.news.notify_one();
+    }
+
     fn leaves(&self, call: &Call) -> bool {
         let state = self.lock();
         state.worker.as_ref().is_some_and(|known| {
--- a/src/cell/member/link.rs
+++ b/src/cell/member/link.rs
@@ -47,7 +47,8 @@
                     slog::info!(self.0.config.log,
                         "agent: reports to a planner";
                         "planner" => &holder.process, "claim" => revision);
-                    self.report_to(&client).await;
+                    self.learn(revision);
+                    self.report_to(&client, revision).await;
                     slog::info!(self.0.config.log,
                         "agent: has left a planner";
                         "planner" => &holder.process, "claim" => revision);
@@ -94,14 +95,23 @@
         }
     }
 
+    /// Learns a claim's fencing token, without which a worker that has seen
+    /// one shows nothing: an agent that has just started knows none.
+    fn learn(&self, token: Revision) {
+        let mut state = self.lock();
+        if token > state.token {
+            state.token = token;
+            self.0.look.notify_one();
+        }
+    }
+
     /// Reports until the planner does not answer or is none any more.
-    async fn report_to(&self, client: &Arc<WsClient>) {
+    async fn report_to(&self, client: &Arc<WsClient>, token: Revision) {
         loop {
             let sent = Instant::now();
             let report = {
                 let mut state = self.lock();
-                if state.fenced {
-                    state.fenced = false;
+                if state.fenced >= token {
                     return;
                 }
                 state.report(&self.0.config, sent)
--- a/src/cell/member/look.rs
+++ b/src/cell/member/look.rs
@@ -53,10 +53,10 @@
             };
             wait = match answer {
                 Ok(Ok(look)) => self.looked(&plan, look).await,
-                Ok(Err(error)) => self.unlooked(error).await,
+                Ok(Err(error)) => self.unlooked(&plan, error).await,
                 Err(_) => {
                     let error = Error::Lost("not in time".to_owned());
-                    self.unlooked(error).await
+                    self.unlooked(&plan, error).await
                 }
             };
         }
@@ -78,12 +78,9 @@
         Duration::ZERO
     }
 
-    async fn unlooked(&self, error: Error) -> Duration {
+    async fn unlooked(&self, plan: &Plan, error: Error) -> Duration {
         match &error {
-            Error::Fenced => {
-                self.lock().fenced = true;
-                self.0.news.notify_one();
-            }
+            Error::Fenced => self.fenced(plan.call.token),
             error => slog::debug!(self.0.config.log,
                 "agent: a look has failed"; "error" => %error),
         }
--- a/src/cell/member/state.rs
+++ b/src/cell/member/state.rs
@@ -108,8 +108,8 @@
     pub token: Revision,
     /// Until when the worker's tasks may go on.
     pub granted: Option<Instant>,
-    /// Whether a worker has seen a higher token than we know.
-    pub fenced: bool,
+    /// The highest token that the worker has called too low.
+    pub fenced: Revision,
     pub worker: Option<Known>,
 }
 
@@ -120,7 +120,7 @@
             sequence: 0,
             token: 0,
             granted: None,
-            fenced: false,
+            fenced: 0,
             worker: None,
         }
     }
@@ -186,7 +186,6 @@
             return Vec::new();
         }
         self.token = token;
-        self.fenced = false;
         self.granted = self.granted.max(granted);
         let Some(known) = &mut self.worker else {
             return Vec::new();
--- a/tests/it/graph.rs
+++ b/tests/it/graph.rs
@@ -281,6 +281,7 @@
     site.submit(job("a", 1, vec![step(8, 1, false)], &site));
     site.settle();
     site.submit(job("big", 1, vec![step(1, 8, false)], &site));
+    site.settle();
     site.pass(Duration::from_secs(2));
     site.settle();
     site.submit(job("small", 1, vec![step(8, 1, false)], &site));
