Keep overlapping rooms apart; a worker that answers is not gone

Change: a worker's books tell what is in it from what is kept; any answer or heartbeat shows life; a new agent assumes its forerunner's lease.

--- a/src/cell/member/look.rs
+++ b/src/cell/member/look.rs
@@ -84,7 +84,16 @@
             error => slog::debug!(self.0.config.log,
                 "agent: a look has failed"; "error" => %error),
         }
-        if self.lock().unanswered(Instant::now()) {
+        let now = Instant::now();
+        if matches!(error, Error::OtherLife) {
+            self.left(&plan.call.life);
+        } else if !matches!(error, Error::Lost(_)) {
+            // Whatever it says, the worker lives.
+            let mut state = self.lock();
+            if let Some(known) = &mut state.worker {
+                known.shows_life(now);
+            }
+        } else if self.lock().unanswered(now) {
             slog::warn!(self.0.config.log, "agent: the worker is lost";
                 "error" => %error);
             self.0.news.notify_one();
--- a/src/cell/member/mod.rs
+++ b/src/cell/member/mod.rs
@@ -115,7 +115,8 @@
         let now = Instant::now();
         let life = heartbeat.life.clone();
         let leaving = heartbeat.leaving;
-        match self.lock().heartbeat(heartbeat, now) {
+        let lease = self.0.config.lease;
+        match self.lock().heartbeat(heartbeat, lease, now) {
             state::News::Life => {
                 slog::info!(self.0.config.log, "agent: a worker is here";
                     "life" => &*life);
--- a/src/cell/member/state.rs
+++ b/src/cell/member/state.rs
@@ -125,11 +125,16 @@
         }
     }
 
-    pub fn heartbeat(&mut self, beat: Heartbeat, now: Instant) -> News {
+    pub fn heartbeat(
+        &mut self,
+        beat: Heartbeat,
+        lease: Duration,
+        now: Instant,
+    ) -> News {
         let known = match &mut self.worker {
             Some(known) if known.beat.life == beat.life => known,
             _ => {
-                self.worker = Some(Known::new(beat, now));
+                self.worker = Some(Known::new(beat, lease, now));
                 return News::Life;
             }
         };
@@ -137,6 +142,7 @@
             return News::None;
         }
         known.stays = beat.remaining.map(|remaining| now + remaining);
+        known.shows_life(now);
         let same = known.beat.leaving == beat.leaving
             && known.beat.capacity == beat.capacity;
         // A worker that has said so does not come back from leaving.
@@ -235,8 +241,7 @@
         if known.beat.life != plan.call.life {
             return false;
         }
-        known.answered = now;
-        known.over = known.over.filter(|_| known.beat.leaving);
+        known.shows_life(now);
         known.clock = Some((look.time, now));
         let new = known
             .lists
@@ -271,7 +276,7 @@
 }
 
 impl Known {
-    fn new(beat: Heartbeat, now: Instant) -> Known {
+    fn new(beat: Heartbeat, lease: Duration, now: Instant) -> Known {
         Known {
             stays: beat.remaining.map(|remaining| now + remaining),
             clock: beat.time.map(|time| (time, now)),
@@ -283,11 +288,18 @@
             stops: BTreeSet::new(),
             progress: BTreeMap::new(),
             answered: now,
-            leased: None,
+            // An earlier life of this process may have leased so long.
+            leased: Some(now + lease),
             over: None,
         }
     }
 
+    /// Takes in that the worker lives.
+    pub fn shows_life(&mut self, now: Instant) {
+        self.answered = now;
+        self.over = self.over.filter(|_| self.beat.leaving);
+    }
+
     pub fn is_over(&self, now: Instant) -> bool {
         self.over.is_some_and(|over| now >= over)
     }
--- a/src/graph/book.rs
+++ b/src/graph/book.rs
@@ -75,8 +75,10 @@
     pub leaving: bool,
     /// Until when it stays at least, while it is leaving.
     pub stays: Option<Instant>,
-    /// What the members placed here take.
+    /// What the members placed here take, and what is kept for others.
     pub used: Resources,
+    /// The part of that which is kept for units that have not begun.
+    pub kept: Resources,
     pub process: String,
     pub sequence: u64,
     /// When the last report that was granted survival came in.
@@ -97,6 +99,11 @@
     pub fn free(&self) -> Resources {
         self.capacity.minus(&self.used)
     }
+
+    /// Returns the room that nothing is in, though it may be kept.
+    pub fn empty(&self) -> Resources {
+        self.capacity.minus(&self.used.minus(&self.kept))
+    }
 }
 
 /// How far a member has come.
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -550,6 +550,7 @@
         unit.phase = Phase::Waiting;
         for place in &places {
             self.vacate(place, &charge);
+            self.keep(place, &Resources::default().minus(&charge));
         }
         places
     }
@@ -630,6 +631,15 @@
         }
     }
 
+    /// Adds to what is kept on a worker.
+    pub(super) fn keep(&mut self, place: &Place, charge: &Resources) {
+        if let Some(worker) = self.workers.get_mut(&place.agent) {
+            if worker.life == place.life {
+                worker.kept = worker.kept.plus(charge);
+            }
+        }
+    }
+
     pub(super) fn vacate(&mut self, place: &Place, charge: &Resources) {
         if let Some(worker) = self.workers.get_mut(&place.agent) {
             if worker.life == place.life {
@@ -650,6 +660,7 @@
         leaving: said.leaving,
         stays: None,
         used,
+        kept: Resources::default(),
         process: String::new(),
         sequence: 0,
         granted: now,
--- a/src/graph/preempt.rs
+++ b/src/graph/preempt.rs
@@ -105,7 +105,9 @@
     let charge = step.charge();
     let each = charge.cpu + charge.accelerators * ACCELERATOR_CPU;
     let ran = |since| now.now.saturating_duration_since(since);
+    let reserved = matches!(unit.phase, Phase::Reserved(_));
     let lost = match step.checkpoints {
+        _ if reserved => Duration::ZERO,
         true => LOST_WITH_CHECKPOINT,
         false => unit
             .members()
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -1,5 +1,6 @@
 //! Which units are started next, and when.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -14,6 +15,7 @@
 use crate::graph::Id;
 use crate::graph::Moment;
 use crate::graph::Place;
+use crate::graph::Resources;
 use crate::graph::UnitKey;
 
 /// How long before a leaving worker is gone its tasks are stopped, so that
@@ -96,19 +98,24 @@
         }
     }
 
-    /// Starts the units whose reserved room has become free.
+    /// Starts the units whose reserved room has become free, the urgent
+    /// ones first: rooms kept for several units may overlap.
     fn start_reserved(&mut self, now: Moment) {
-        let mut ready = Vec::new();
+        let mut kept = Vec::new();
         for entry in self.live() {
             for (key, unit) in &entry.units {
                 if let Phase::Reserved(members) = &unit.phase {
-                    if members.iter().all(|m| self.fits_now(&m.place)) {
-                        ready.push((entry.job.id.clone(), *key));
-                    }
+                    let since = members.first().map(|member| member.since);
+                    let priority = entry.job.priority;
+                    kept.push((priority, since, entry.job.id.clone(), *key));
                 }
             }
         }
-        for (id, key) in ready {
+        kept.sort();
+        for (_, _, id, key) in kept {
+            if !self.has_room(&id, &key) {
+                continue;
+            }
             let places = self.unreserve(&id, &key);
             if !places.is_empty() {
                 self.give_run(&id, &key, places, now);
@@ -116,10 +123,25 @@
         }
     }
 
-    /// Returns whether a worker holds no more than it has room for.
-    fn fits_now(&self, place: &Place) -> bool {
-        self.workers.get(&place.agent).is_some_and(|worker| {
-            worker.life == place.life && worker.capacity.holds(&worker.used)
+    /// Returns whether nothing is left in the room that is kept for a unit.
+    fn has_room(&self, id: &str, key: &UnitKey) -> bool {
+        let Some(entry) = self.jobs.get(id) else {
+            return false;
+        };
+        let charge = entry.job.steps[key.step].charge();
+        let Some(unit) = entry.units.get(key) else {
+            return false;
+        };
+        let mut needs: BTreeMap<&Place, Resources> = BTreeMap::new();
+        for member in unit.members() {
+            let need = needs.entry(&member.place).or_default();
+            *need = need.plus(&charge);
+        }
+        needs.iter().all(|(place, need)| {
+            let worker = self.workers.get(&place.agent);
+            worker.is_some_and(|worker| {
+                worker.life == place.life && worker.empty().holds(need)
+            })
         })
     }
 
@@ -239,6 +261,7 @@
             Phase::Reserved(members(key, &places, State::Ordered(0), now));
         for place in &places {
             self.occupy(place, &charge);
+            self.keep(place, &charge);
         }
         self.note(format!("unit {id}.{key} reserves room"));
     }
--- a/tests/it/graph.rs
+++ b/tests/it/graph.rs
@@ -293,3 +293,22 @@
     }
     assert_eq!((site.running("big"), site.running("small")), (1, 0));
 }
+
+#[test]
+fn an_urgent_unit_begins_though_room_is_kept_for_others_there() {
+    let mut site = Site::new(&[("w1", "r1")]);
+    let mut slow = step(1, 4, false);
+    slow.estimate = Duration::from_secs(60);
+    site.submit(job("long", 1, vec![slow], &site));
+    site.submit(job("short", 1, vec![step(4, 1, false)], &site));
+    site.settle();
+    // One worker, and more waits for it than it holds.
+    site.submit(job("next", 1, vec![step(2, 4, false)], &site));
+    site.settle();
+    let urgent = job("urgent", 0, vec![step(1, 4, false)], &site);
+    site.submit(urgent);
+    site.book.step(site.now);
+    site.pass(Duration::from_secs(2));
+    site.settle();
+    assert_eq!(site.running("urgent"), 1);
+}
