Count a failed run at once; look elsewhere for kept room each step

Change: a failure is counted and written with the first member's end, as is a checkpoint that comes with an end; kept room is looked at anew in each step; a near place is waited for 2 s at most. Tests in tests/it/graph.rs fail without.

--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -260,15 +260,7 @@
         worker.taken = ended.number;
         let task = &ended.task;
         if let Some((key, at)) = self.find(task, ended.run, place) {
-            if !ended.saved.is_empty() {
-                let kept = self
-                    .jobs
-                    .get_mut(&task.job)
-                    .and_then(|entry| entry.progress.units.get_mut(&key));
-                if let Some(kept) = kept {
-                    kept.saved.clone_from(&ended.saved);
-                }
-            }
+            self.save(&task.job, &key, &ended.saved);
             let end = End::Listed(ended.how);
             self.end_member(&task.job, &key, at, end, now);
         }
@@ -284,6 +276,21 @@
         self.stirred.insert(place.agent.clone());
     }
 
+    /// Keeps a checkpoint that comes with an end: once the end is
+    /// acknowledged, the worker no longer has it.
+    fn save(&mut self, id: &str, key: &UnitKey, saved: &str) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        match entry.progress.units.get_mut(key) {
+            Some(kept) if !saved.is_empty() && kept.saved != saved => {
+                kept.saved = saved.to_owned();
+                self.touch(id);
+            }
+            _ => {}
+        }
+    }
+
     fn take_refused(&mut self, place: &Place, refused: &Refused, now: Moment) {
         let found = self.find(&refused.task, refused.run, place);
         let Some((key, at)) = found else {
@@ -353,9 +360,13 @@
         member.state = State::Ended;
         let place = member.place.clone();
         let stopped = unit.stop;
+        let mut counts = false;
         match end {
             End::Listed(How::Done) => unit.any_done = true,
             End::Listed(How::Failed) => {
+                // Counted at once, whatever becomes of the other members:
+                // the end may be acknowledged before theirs are known.
+                counts = !unit.any_failed;
                 unit.any_failed = true;
                 unit.avoid.push(place.agent.clone());
             }
@@ -364,7 +375,12 @@
             }
             _ => {}
         }
-        let run = entry.progress.units.get(key).map_or(0, |kept| kept.run);
+        let kept = entry.progress.units.entry(*key).or_default();
+        kept.failed += u32::from(counts);
+        let run = kept.run;
+        if counts {
+            self.touch(id);
+        }
         self.note(format!(
             "task {id}.{key}/{at} run {run} at {} {}: {end:?}",
             place.agent, place.life
@@ -443,7 +459,6 @@
         };
         unit.stop = None;
         unit.ready = now.now;
-        let failed = unit.any_failed && !unit.any_done;
         unit.any_failed = false;
         unit.any_done = false;
         if done {
@@ -456,10 +471,9 @@
             return;
         };
         kept.on.clear();
-        kept.failed += u32::from(failed);
         let spent = !lasting && kept.failed >= limit;
         self.touch(id);
-        if failed && spent && !over {
+        if spent && !over {
             self.finish(id, Outcome::Failed, now);
         }
     }
--- a/src/graph/place.rs
+++ b/src/graph/place.rs
@@ -19,13 +19,14 @@
 
 /// The share of what a far run costs more that is waited for a near place.
 const WAIT_FOR_NEAR: f64 = 0.5;
+/// The longest that is waited for a near place while others have room.
+const LONGEST_WAIT: Duration = Duration::from_millis(2000);
 
 /// What a unit needs.
 #[derive(Clone, Debug)]
 pub(super) struct Request {
     pub id: Id,
     pub key: UnitKey,
-    pub account: Text,
     pub priority: u32,
     pub pool: Text,
     pub width: u32,
@@ -34,24 +35,17 @@
     pub data_rack: Option<Text>,
     pub same_rack: bool,
     pub per_worker: Option<u32>,
-    pub guarded: bool,
     pub avoid: Vec<AgentId>,
     pub ready: Instant,
     pub estimate: Duration,
 }
 
 impl Request {
-    pub fn new(
-        entry: &Entry,
-        key: &UnitKey,
-        unit: &Unit,
-        _now: Moment,
-    ) -> Request {
+    pub fn new(entry: &Entry, key: &UnitKey, unit: &Unit) -> Request {
         let step = &entry.job.steps[key.step];
         Request {
             id: entry.job.id.clone(),
             key: *key,
-            account: entry.job.account.clone(),
             priority: entry.job.priority,
             pool: entry.job.pool.clone(),
             width: entry.width(key),
@@ -60,7 +54,6 @@
             data_rack: step.data_rack.clone(),
             same_rack: step.gang && step.same_rack,
             per_worker: step.per_worker,
-            guarded: entry.job.guarded,
             avoid: unit.avoid.clone(),
             ready: unit.ready,
             estimate: step.estimate,
@@ -144,7 +137,8 @@
             choices.push(Some(near.map(|(rack, _)| rack.clone()).collect()));
         }
         let dear = request.estimate.mul_f64((self.terms.far - 1.0).max(0.0));
-        let patient = request.ready + dear.mul_f64(WAIT_FOR_NEAR);
+        let patient =
+            request.ready + dear.mul_f64(WAIT_FOR_NEAR).min(LONGEST_WAIT);
         if choices.is_empty() || now.now >= patient {
             choices.push(None);
         }
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -113,16 +113,41 @@
         }
         kept.sort();
         for (_, _, id, key) in kept {
-            if !self.has_room(&id, &key) {
-                continue;
-            }
-            let places = self.unreserve(&id, &key);
-            if !places.is_empty() {
-                self.give_run(&id, &key, places, now);
+            match self.has_room(&id, &key) {
+                true => {
+                    let places = self.unreserve(&id, &key);
+                    self.give_run(&id, &key, places, now);
+                }
+                false => self.look_elsewhere(&id, &key, now),
             }
         }
     }
 
+    /// Starts a unit elsewhere if there is room now, and gives up what is
+    /// kept for it on workers that can no longer be used.
+    fn look_elsewhere(&mut self, id: &Id, key: &UnitKey, now: Moment) {
+        let Some(entry) = self.jobs.get(id) else {
+            return;
+        };
+        let Some(unit) = entry.units.get(key) else {
+            return;
+        };
+        let request = Request::new(entry, key, unit);
+        if let Some(places) = self.place(&request, now) {
+            self.unreserve(id, key);
+            self.give_run(id, key, places, now);
+            return;
+        }
+        let usable: Vec<Place> = self
+            .candidates(&request, now)
+            .into_iter()
+            .map(|candidate| candidate.place)
+            .collect();
+        if !unit.members().all(|m| usable.contains(&m.place)) {
+            self.unreserve(id, key);
+        }
+    }
+
     /// Returns whether nothing is left in the room that is kept for a unit.
     fn has_room(&self, id: &str, key: &UnitKey) -> bool {
         let Some(entry) = self.jobs.get(id) else {
@@ -198,7 +223,7 @@
         if !matches!(unit.phase, Phase::Waiting) {
             return;
         }
-        let request = Request::new(entry, &waiting.key, unit, now);
+        let request = Request::new(entry, &waiting.key, unit);
         if let Some(places) = self.place(&request, now) {
             self.give_run(&waiting.id, &waiting.key, places, now);
         } else if request.priority == 0 {
--- a/tests/it/graph.rs
+++ b/tests/it/graph.rs
@@ -312,3 +312,40 @@
     site.settle();
     assert_eq!(site.running("urgent"), 1);
 }
+
+#[test]
+fn a_failed_run_counts_before_its_end_may_be_acknowledged() {
+    let mut site = Site::new(TWO);
+    let mut gang = step(2, 1, true);
+    gang.same_rack = false;
+    site.submit(job("j", 1, vec![gang], &site));
+    site.settle();
+    site.workers[0].end(How::Failed, |r| r.task.index == 0);
+    // One member's end is known, and nothing of the other's.
+    let report = site.workers[0].report();
+    site.book.report(report, site.now);
+    let agent = site.workers[0].agent.clone();
+    let noted = |site: &mut Site| site.book.orders(&agent).noted;
+    assert_eq!(noted(&mut site), 0, "the failure is not written");
+    site.write();
+    assert_eq!(noted(&mut site), 1);
+    let kept = &site.book.progress("j").expect("known").units;
+    assert_eq!(kept.values().next().expect("begun").failed, 1);
+}
+
+#[test]
+fn a_unit_does_not_wait_for_kept_room_while_there_is_other() {
+    // Whichever worker is free first is taken.
+    for worker in [1, 0] {
+        let mut site = Site::new(TWO);
+        site.submit(job("a", 1, vec![step(2, 8, false)], &site));
+        site.settle();
+        site.submit(job("big", 1, vec![step(1, 8, false)], &site));
+        site.settle();
+        site.pass(Duration::from_secs(2));
+        site.settle();
+        site.workers[worker].end(How::Done, |_| true);
+        site.settle();
+        assert_eq!(site.running("big"), 1, "worker {worker} is free");
+    }
+}
