--- a/tools/days.py
+++ b/tools/days.py
@@ -74,7 +74,7 @@
     "scale-out": 'kind = "scale_out", share = 0.25, gap_s = 1.0',
     "roll-term": 'kind = "roll_term", share = 1.0, x = 1.0, gap_s = 2.0',
     "roll-term-busy": 'kind = "roll_term", share = 1.0, x = 1.0, gap_s = 2.0, how = "busy"',
-    "roll-term-remove": 'kind = "roll_term", share = 0.34, x = 1.0, gap_s = 2.0, how = "remove"',
+    "roll-term-remove": 'kind = "roll_term", share = 0.2, x = 1.0, gap_s = 2.0, how = "remove"',
     "hup": 'kind = "hup", share = 0.6, gap_s = 2.0',
     "config-route": 'kind = "config_change", how = "route"',
     "config-tenant": 'kind = "config_change", how = "tenant"',
