Learn run times by queue; stop calling a pace progress

Change: a run is stuck only when overdue against the queue's median, and sooner if it never showed work; load is read apart from pace; where one task of a step finds no room its like are not tried.

--- a/src/cell/session.rs
+++ b/src/cell/session.rs
@@ -70,9 +70,10 @@
     async fn get(&self) -> Option<ActorRef<Message>> {
         let mut current = self.current.subscribe();
         let hosted = current.wait_for(Option::is_some);
-        let hosted = tokio::time::timeout(STARTING, hosted).await;
-        let planner = hosted.ok()?.ok()?.clone();
-        planner
+        // Whether it came in time or not: what is hosted now counts.
+        let _ = tokio::time::timeout(STARTING, hosted).await;
+        let planner = current.borrow();
+        planner.clone()
     }
 }
 
--- a/src/graph/book.rs
+++ b/src/graph/book.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use crate::graph::health::Health;
+use crate::graph::history::History;
 use crate::graph::AgentId;
 use crate::graph::Id;
 use crate::graph::Job;
@@ -68,7 +69,6 @@
 pub(super) struct Worker {
     pub life: Life,
     pub pool: Text,
-    pub hall: Text,
     pub rack: Text,
     pub labels: Vec<Text>,
     pub capacity: Resources,
@@ -126,8 +126,9 @@
     /// Whether its start was ever handed to an agent.
     pub handed: bool,
     pub since: Instant,
-    pub percent: f64,
-    /// When its percentage last rose.
+    /// Whether it was ever seen at work.
+    pub worked: bool,
+    /// When it was last seen at work.
     pub moved: Instant,
 }
 
@@ -272,6 +273,7 @@
     pub(super) open: BTreeSet<Id>,
     /// The accelerators that each client account is guaranteed.
     pub(super) guarantees: BTreeMap<Text, i64>,
+    pub(super) history: History,
     pub(super) dirty: BTreeSet<Id>,
     pub(super) stirred: BTreeSet<AgentId>,
     /// What the last steps decided, for the log.
@@ -291,6 +293,7 @@
             jobs: BTreeMap::new(),
             open: BTreeSet::new(),
             guarantees: BTreeMap::new(),
+            history: History::default(),
             dirty: BTreeSet::new(),
             stirred: BTreeSet::new(),
             notes: Vec::new(),
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -34,8 +34,12 @@
 
 /// How long a unit waits after a run that failed or was refused.
 const AGAIN: Duration = Duration::from_millis(200);
-/// How long a member may show no progress before it is taken for stuck.
-const STUCK: Duration = Duration::from_millis(3500);
+/// How long a member may show no work before it may be taken for stuck.
+const STUCK: Duration = Duration::from_millis(2600);
+/// How many times longer than expected a run may take that has shown work.
+const OVERDUE: f64 = 4.0;
+/// How many times longer a run may take that has never shown any.
+const OVERDUE_IDLE: f64 = 1.5;
 
 /// What came of a member's run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -226,10 +230,12 @@
         let Some(entry) = self.jobs.get_mut(&running.task.job) else {
             return false;
         };
-        if !running.saved.is_empty() {
-            if let Some(kept) = entry.progress.units.get_mut(&key) {
-                kept.saved.clone_from(&running.saved);
-            }
+        let kept = entry.progress.units.get_mut(&key);
+        let kept = kept
+            .filter(|k| !running.saved.is_empty() && k.saved != running.saved);
+        let saved = kept.is_some();
+        if let Some(kept) = kept {
+            kept.saved.clone_from(&running.saved);
         }
         let Some(unit) = entry.units.get_mut(&key) else {
             return false;
@@ -243,9 +249,11 @@
             member.moved = now.now;
             self.stirred.insert(place.agent.clone());
         }
-        if running.percent != member.percent {
-            member.percent = running.percent;
+        // A task that shows no figure is taken to be at work.
+        let works = running.load.is_none_or(|load| load > 0.0);
+        if works || saved {
             member.moved = now.now;
+            member.worked = true;
         }
         true
     }
@@ -350,6 +358,8 @@
         };
         let charge = entry.job.steps[key.step].charge();
         let job = entry.job.id.clone();
+        let from = entry.progress.units.get(key);
+        let whole = from.is_some_and(|kept| kept.from.is_empty());
         let Some(unit) = entry.units.get_mut(key) else {
             return;
         };
@@ -359,10 +369,16 @@
         let member = &mut members[at];
         member.state = State::Ended;
         let place = member.place.clone();
+        let since = member.since;
         let stopped = unit.stop;
         let mut counts = false;
+        let mut learnt = None;
         match end {
-            End::Listed(How::Done) => unit.any_done = true,
+            End::Listed(How::Done) => {
+                unit.any_done = true;
+                let ran = now.now.saturating_duration_since(since);
+                learnt = whole.then_some(ran);
+            }
             End::Listed(How::Failed) => {
                 // Counted at once, whatever becomes of the other members:
                 // the end may be acknowledged before theirs are known.
@@ -375,12 +391,16 @@
             }
             _ => {}
         }
+        let queue = entry.job.queue.clone();
         let kept = entry.progress.units.entry(*key).or_default();
         kept.failed += u32::from(counts);
         let run = kept.run;
         if counts {
             self.touch(id);
         }
+        if let Some(ran) = learnt {
+            self.history.learn(&queue, ran);
+        }
         self.note(format!(
             "task {id}.{key}/{at} run {run} at {} {}: {end:?}",
             place.agent, place.life
@@ -614,20 +634,20 @@
         let mut stuck = Vec::new();
         for entry in self.live() {
             for (key, unit) in &entry.units {
-                if !matches!(unit.phase, Phase::Running(_)) {
+                let step = &entry.job.steps[key.step];
+                if !matches!(unit.phase, Phase::Running(_))
+                    || unit.stop.is_some()
+                    || step.lasting
+                {
                     continue;
                 }
-                if unit.stop.is_some() || entry.job.steps[key.step].lasting {
-                    continue;
-                }
-                let still = unit.members().any(|m| {
-                    let fresh =
-                        self.workers.get(&m.place.agent).is_some_and(|w| {
-                            now.now < w.granted + self.terms.contact
-                        });
-                    fresh && now.now >= m.moved + STUCK
-                });
-                if still {
+                let expected = self.history.expect(&entry.job.queue, step);
+                let far = step.same_rack || step.data_rack.is_some();
+                let expected = match far {
+                    true => expected.mul_f64(self.terms.far),
+                    false => expected,
+                };
+                if unit.members().any(|m| self.is_stuck(m, expected, now)) {
                     stuck.push((entry.job.id.clone(), *key));
                 }
             }
@@ -637,6 +657,27 @@
         }
     }
 
+    /// Returns whether a member has run so long without a sign of work that
+    /// it is taken for stuck. A figure of 0 alone says little: tasks that
+    /// work were seen to show it for seconds.
+    fn is_stuck(
+        &self,
+        member: &Member,
+        expected: Duration,
+        now: Moment,
+    ) -> bool {
+        let worker = self.workers.get(&member.place.agent);
+        let fresh = worker.is_some_and(|worker| {
+            now.now < worker.granted + self.terms.contact
+        });
+        let factor = match member.worked {
+            true => OVERDUE,
+            false => OVERDUE_IDLE,
+        };
+        let overdue = member.since + expected.mul_f64(factor) + STUCK;
+        fresh && now.now >= overdue && now.now >= member.moved + STUCK
+    }
+
     pub(super) fn occupy(&mut self, place: &Place, charge: &Resources) {
         if let Some(worker) = self.workers.get_mut(&place.agent) {
             if worker.life == place.life {
@@ -667,7 +708,6 @@
     Worker {
         life: said.life.clone(),
         pool: said.pool.clone(),
-        hall: said.hall.clone(),
         rack: said.rack.clone(),
         labels: said.labels.clone(),
         capacity: said.capacity,
@@ -705,7 +745,7 @@
         state: State::Ordered(0),
         handed: true,
         since: now,
-        percent: 0.0,
+        worked: true,
         moved: now,
     };
     let mut unit = Unit::new(now);
--- a/src/graph/job.rs
+++ b/src/graph/job.rs
@@ -233,13 +233,14 @@
         }
     }
 
-    /// Returns the longest chain of estimates through the steps.
-    pub fn chain(&self) -> Duration {
+    /// Returns the longest chain of work through the steps, each as long as
+    /// `expected` says.
+    pub fn chain(&self, expected: impl Fn(&Step) -> Duration) -> Duration {
         let mut ends: Vec<Duration> = Vec::new();
         for step in &self.steps {
             let before = step.after.iter().filter_map(|on| ends.get(*on));
             let before = before.max().copied().unwrap_or_default();
-            ends.push(before + step.estimate);
+            ends.push(before + expected(step));
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/src/graph/mod.rs
+++ b/src/graph/mod.rs
@@ -15,6 +15,7 @@
 
 mod book;
 mod health;
+mod history;
 mod intake;
 mod job;
 mod orders;
--- a/src/graph/place.rs
+++ b/src/graph/place.rs
@@ -37,11 +37,17 @@
     pub per_worker: Option<u32>,
     pub avoid: Vec<AgentId>,
     pub ready: Instant,
-    pub estimate: Duration,
+    /// How long it is expected to run.
+    pub expected: Duration,
 }
 
 impl Request {
-    pub fn new(entry: &Entry, key: &UnitKey, unit: &Unit) -> Request {
+    pub fn new(
+        entry: &Entry,
+        key: &UnitKey,
+        unit: &Unit,
+        expected: Duration,
+    ) -> Request {
         let step = &entry.job.steps[key.step];
         Request {
             id: entry.job.id.clone(),
@@ -56,7 +62,7 @@
             per_worker: step.per_worker,
             avoid: unit.avoid.clone(),
             ready: unit.ready,
-            estimate: step.estimate,
+            expected,
         }
     }
 
@@ -136,7 +142,7 @@
         } else if request.data_rack.is_some() {
             choices.push(Some(near.map(|(rack, _)| rack.clone()).collect()));
         }
-        let dear = request.estimate.mul_f64((self.terms.far - 1.0).max(0.0));
+        let dear = request.expected.mul_f64((self.terms.far - 1.0).max(0.0));
         let patient =
             request.ready + dear.mul_f64(WAIT_FOR_NEAR).min(LONGEST_WAIT);
         if choices.is_empty() || now.now >= patient {
--- a/src/graph/preempt.rs
+++ b/src/graph/preempt.rs
@@ -44,14 +44,14 @@
 
 impl Book {
     /// Stops the cheapest runs of lower priority that make room for a unit,
-    /// and keeps that room for it.
+    /// and keeps that room for it; returns whether there were any.
     pub(super) fn preempt(
         &mut self,
         id: &str,
         key: &UnitKey,
         request: &Request,
         now: Moment,
-    ) {
+    ) -> bool {
         let victims = self.victims(request, now);
         let candidates = self.candidates(request, now);
         let best = self
@@ -69,13 +69,14 @@
             })
             .min_by(|a, b| a.cost.total_cmp(&b.cost));
         let Some(eviction) = best else {
-            return;
+            return false;
         };
         self.reserve(id, key, eviction.places, now);
         for at in eviction.victims {
             let victim = &victims[at];
             self.stop_unit(&victim.id, &victim.key, Why::Preempted, now);
         }
+        true
     }
 
     fn victims(&self, request: &Request, now: Moment) -> Vec<Victim> {
--- a/src/graph/report.rs
+++ b/src/graph/report.rs
@@ -42,8 +42,11 @@
     pub run: Run,
     /// Its last checkpoint.
     pub saved: String,
-    /// How much of it is done, 0 to 100.
-    pub percent: f64,
+    /// At which share of its speed it may work, 0 to 100.
+    pub pace: f64,
+    /// What it does at present, roughly: a lasting task that serves, the
+    /// tail of its answers in ms; another, thousandths of a core.
+    pub load: Option<f64>,
 }
 
 /// A run that has ended.
--- a/src/graph/reserve.rs
+++ b/src/graph/reserve.rs
@@ -23,8 +23,8 @@
 const PATIENCE: Duration = Duration::from_millis(1500);
 /// The share of a pool's workers on which room is kept at a time.
 const SHARE: f64 = 0.35;
-/// The least time that a run is expected to go on for.
-const LEAST: Duration = Duration::from_millis(200);
+/// The share of its age that a run is expected to go on for at least.
+const OUTLIVED: f64 = 0.15;
 
 /// When something that runs on a worker is expected to end.
 #[derive(Clone, Copy, Debug)]
@@ -35,22 +35,22 @@
 
 impl Book {
     /// Keeps room for a unit that finds no place, if it has waited and not
-    /// too much is kept already.
+    /// too much is kept already; returns whether it is.
     pub(super) fn keep_room(
         &mut self,
         id: &Id,
         key: &UnitKey,
         request: &Request,
         now: Moment,
-    ) {
+    ) -> bool {
         if now.now < request.ready + PATIENCE {
-            return;
+            return false;
         }
         let candidates = self.candidates(request, now);
         let kept = self.kept_workers(request);
         let most = (candidates.len() as f64 * SHARE).ceil() as usize;
         if kept.len() >= most {
-            return;
+            return false;
         }
         let best = self
             .choices(request, &candidates, now)
@@ -66,9 +66,11 @@
                 self.soonest(request, chosen, now)
             })
             .min_by_key(|(at, _)| *at);
-        if let Some((_, places)) = best {
-            self.reserve(id, key, places, now);
-        }
+        let Some((_, places)) = best else {
+            return false;
+        };
+        self.reserve(id, key, places, now);
+        true
     }
 
     /// Returns the workers on which room is kept.
@@ -124,6 +126,22 @@
         Some((last, places))
     }
 
+    /// Returns when a member is expected to end.
+    pub(super) fn expected_end(
+        &self,
+        entry: &Entry,
+        key: &UnitKey,
+        member: &Member,
+        now: Moment,
+    ) -> Instant {
+        let step = &entry.job.steps[key.step];
+        let whole = self.history.expect(&entry.job.queue, step);
+        let ran = now.now.saturating_duration_since(member.since);
+        // What has outlived its expectation goes on for a while yet.
+        let left = whole.saturating_sub(ran).max(ran.mul_f64(OUTLIVED));
+        now.now + left
+    }
+
     /// Returns what runs on a worker, by when it is expected to end.
     fn releases(&self, place: &Place, now: Moment) -> Vec<Release> {
         let mut releases = Vec::new();
@@ -134,7 +152,7 @@
                 }
                 let here = unit.members().filter(|m| m.place == *place);
                 releases.extend(here.map(|member| Release {
-                    at: expected(entry, key, member, now),
+                    at: self.expected_end(entry, key, member, now),
                     charge: entry.job.steps[key.step].charge(),
                 }));
             }
@@ -144,21 +162,6 @@
     }
 }
 
-/// Returns when a member is expected to end.
-fn expected(
-    entry: &Entry,
-    key: &UnitKey,
-    member: &Member,
-    now: Moment,
-) -> Instant {
-    let ran = now.now.saturating_duration_since(member.since);
-    let left = match member.percent {
-        percent if percent >= 1.0 => ran.mul_f64(100.0 / percent - 1.0),
-        _ => entry.job.steps[key.step].estimate.saturating_sub(ran),
-    };
-    now.now + left.max(LEAST)
-}
-
 /// Returns when a worker has room for one more member.
 fn fits_at(
     request: &Request,
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -1,6 +1,7 @@
 //! Which units are started next, and when.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -13,9 +14,11 @@
 use crate::graph::place::Request;
 use crate::graph::Book;
 use crate::graph::Id;
+use crate::graph::Job;
 use crate::graph::Moment;
 use crate::graph::Place;
 use crate::graph::Resources;
+use crate::graph::Step;
 use crate::graph::UnitKey;
 
 /// How long before a leaving worker is gone its tasks are stopped, so that
@@ -42,8 +45,13 @@
         self.leave(now);
         self.open_units(now);
         self.start_reserved(now);
+        // Where one task finds no room, its like find none either.
+        let mut without = BTreeSet::new();
         for unit in self.waiting(now) {
-            self.try_place(&unit, now);
+            let like = (unit.id.clone(), unit.key.time, unit.key.step);
+            if !without.contains(&like) && !self.try_place(&unit, now) {
+                without.insert(like);
+            }
         }
     }
 
@@ -132,7 +140,10 @@
         let Some(unit) = entry.units.get(key) else {
             return;
         };
-        let request = Request::new(entry, key, unit);
+        let expected = self
+            .history
+            .expect(&entry.job.queue, &entry.job.steps[key.step]);
+        let request = Request::new(entry, key, unit, expected);
         if let Some(places) = self.place(&request, now) {
             self.unreserve(id, key);
             self.give_run(id, key, places, now);
@@ -179,17 +190,22 @@
             if entry.over() {
                 continue;
             }
-            let (class, latest) = self.urgency(entry, now);
             let units = entry.units.iter().filter(|(_, unit)| {
                 matches!(unit.phase, Phase::Waiting)
                     && unit.not_before <= now.now
             });
-            waiting.extend(units.map(|(key, _)| Waiting {
-                id: id.clone(),
-                key: *key,
-                class,
-                latest,
-            }));
+            let mut urgency = BTreeMap::new();
+            for (key, _) in units {
+                let (class, latest) = *urgency
+                    .entry(key.time)
+                    .or_insert_with(|| self.urgency(entry, key, now));
+                waiting.push(Waiting {
+                    id: id.clone(),
+                    key: *key,
+                    class,
+                    latest,
+                });
+            }
         }
         waiting.sort_by(|a, b| {
             (a.class, a.latest, &a.id, a.key)
@@ -198,13 +214,21 @@
         waiting
     }
 
-    /// Returns how soon a job must go on.
-    fn urgency(&self, entry: &Entry, now: Moment) -> (u8, Instant) {
+    /// Returns how soon a unit must go on.
+    fn urgency(
+        &self,
+        entry: &Entry,
+        key: &UnitKey,
+        now: Moment,
+    ) -> (u8, Instant) {
         let job = &entry.job;
-        let chain = job.chain();
+        let chain = self.chain(job);
         let objective = chain.mul_f64(job.stretch.max(1.0)) + job.target;
-        let latest = entry.accepted + objective.saturating_sub(chain);
-        let hopeless = entry.accepted + objective * 3;
+        // Of a job that runs several times, each time counts by itself.
+        let late = job.due(key.time).duration_since(job.accepted);
+        let due = entry.accepted + late.unwrap_or_default();
+        let latest = due + objective.saturating_sub(chain);
+        let hopeless = due + objective * 3;
         let class = match job.priority {
             0 => 0,
             _ if now.now >= hopeless => 2,
@@ -213,23 +237,31 @@
         (class, latest)
     }
 
-    fn try_place(&mut self, waiting: &Waiting, now: Moment) {
+    /// Returns the longest chain of expected work through a job's steps.
+    pub(super) fn chain(&self, job: &Job) -> Duration {
+        let expected = |step: &Step| self.history.expect(&job.queue, step);
+        job.chain(expected)
+    }
+
+    /// Finds a place for a unit, or room to be kept for it; returns whether
+    /// there was any.
+    fn try_place(&mut self, waiting: &Waiting, now: Moment) -> bool {
         let Some(entry) = self.jobs.get(&waiting.id) else {
-            return;
+            return false;
         };
         let Some(unit) = entry.units.get(&waiting.key) else {
-            return;
+            return false;
         };
-        if !matches!(unit.phase, Phase::Waiting) {
-            return;
-        }
-        let request = Request::new(entry, &waiting.key, unit);
+        let step = &entry.job.steps[waiting.key.step];
+        let expected = self.history.expect(&entry.job.queue, step);
+        let request = Request::new(entry, &waiting.key, unit, expected);
         if let Some(places) = self.place(&request, now) {
             self.give_run(&waiting.id, &waiting.key, places, now);
-        } else if request.priority == 0 {
-            self.preempt(&waiting.id, &waiting.key, &request, now);
-        } else {
-            self.keep_room(&waiting.id, &waiting.key, &request, now);
+            return true;
+        }
+        match request.priority {
+            0 => self.preempt(&waiting.id, &waiting.key, &request, now),
+            _ => self.keep_room(&waiting.id, &waiting.key, &request, now),
         }
     }
 
@@ -304,7 +336,7 @@
         state,
         handed: false,
         since: now.now,
-        percent: 0.0,
+        worked: false,
         moved: now.now,
     };
     places.iter().enumerate().map(member).collect()
--- a/tests/it/graph.rs
+++ b/tests/it/graph.rs
@@ -93,7 +93,8 @@
             task: start.task.clone(),
             run: start.run,
             saved: String::new(),
-            percent: 0.0,
+            pace: 100.0,
+            load: None,
         });
     }
 
