Test planner, agents and admission together, in memory

A store and a worker that fail on demand: answers lost, calls turned away, an agent that restarts, a planner that dies, a fenced agent without a store.

--- /dev/null
+++ b/tests/it/cell.rs
@@ -0,0 +1,642 @@
+//! Planner, agents and admission together, on a store and workers that live
+//! in memory and fail on demand.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use jsonrpsee::server::Server;
+use jsonrpsee::server::ServerHandle;
+use landingvalve::cell::claim::Holder;
+use landingvalve::cell::configuration::Source;
+use landingvalve::cell::member::Config;
+use landingvalve::cell::member::Heartbeat;
+use landingvalve::cell::member::Member;
+use landingvalve::cell::rpc::CellServer;
+use landingvalve::cell::session::Host;
+use landingvalve::cell::session::Session;
+use landingvalve::cell::worker;
+use landingvalve::cell::worker::Call;
+use landingvalve::cell::worker::Look;
+use landingvalve::cell::worker::Worker;
+use landingvalve::cell::worker::WorkerTime;
+use landingvalve::cell::Admission;
+use landingvalve::cell::Stage;
+use landingvalve::cell::Submitted;
+use landingvalve::graph::Ended;
+use landingvalve::graph::How;
+use landingvalve::graph::Job;
+use landingvalve::graph::Lists;
+use landingvalve::graph::Outcome;
+use landingvalve::graph::Refusal;
+use landingvalve::graph::Resources;
+use landingvalve::graph::Running;
+use landingvalve::graph::Start;
+use landingvalve::graph::Step;
+use landingvalve::graph::Stop;
+use landingvalve::graph::Terms;
+use landingvalve::http;
+use landingvalve::log;
+use landingvalve::store::Change;
+use landingvalve::store::Changes;
+use landingvalve::store::Compare;
+use landingvalve::store::Error;
+use landingvalve::store::Item;
+use landingvalve::store::LeaseId;
+use landingvalve::store::Listing;
+use landingvalve::store::Put;
+use landingvalve::store::Revision;
+use landingvalve::store::Store;
+use landingvalve::store::Swap;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use crate::support::until;
+
+#[derive(Default)]
+struct Data {
+    revision: Revision,
+    items: BTreeMap<String, (Item, LeaseId)>,
+    leases: BTreeMap<LeaseId, (Instant, Duration)>,
+    log: Vec<Change>,
+    /// How many writes take effect without an answer.
+    lose: u32,
+    /// How many calls are turned away.
+    refuse: u32,
+}
+
+/// A store in memory.
+#[derive(Clone, Default)]
+struct Memory(Arc<Mutex<Data>>);
+
+impl Memory {
+    fn lock(&self) -> MutexGuard<'_, Data> {
+        let mut data = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        let over: Vec<LeaseId> = data
+            .leases
+            .iter()
+            .filter(|(_, (deadline, _))| *deadline <= now)
+            .map(|(lease, _)| *lease)
+            .collect();
+        for lease in over {
+            data.leases.remove(&lease);
+            data.drop_lease(lease);
+        }
+        data
+    }
+
+    fn call(&self) -> Result<MutexGuard<'_, Data>, Error> {
+        let mut data = self.lock();
+        match data.refuse {
+            0 => Ok(data),
+            _ => {
+                data.refuse -= 1;
+                Err(Error::Unreached(lost()))
+            }
+        }
+    }
+}
+
+fn lost() -> http::Error {
+    http::Error::Lost {
+        url: "memory".to_owned(),
+        reason: "on demand".to_owned(),
+    }
+}
+
+impl Data {
+    fn drop_lease(&mut self, lease: LeaseId) {
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, (_, on))| *on == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in keys {
+            self.revision += 1;
+            self.items.remove(&key);
+            self.log.push(Change::Deleted(key, self.revision));
+        }
+    }
+
+    fn write(&mut self, puts: Vec<Put>) {
+        self.revision += 1;
+        for put in puts {
+            match put {
+                Put::Value(key, value, lease) => {
+                    let item = Item {
+                        key: key.clone(),
+                        value,
+                        created: self.revision,
+                        modified: self.revision,
+                    };
+                    self.log.push(Change::Put(item.clone()));
+                    self.items.insert(key, (item, lease));
+                }
+                Put::Delete(key) => {
+                    if self.items.remove(&key).is_some() {
+                        let change = Change::Deleted(key, self.revision);
+                        self.log.push(change);
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl Store for Memory {
+    async fn get(&self, key: &str) -> Result<Option<Item>, Error> {
+        let data = self.call()?;
+        Ok(data.items.get(key).map(|(item, _)| item.clone()))
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing, Error> {
+        let data = self.call()?;
+        let items = data.items.values().map(|(item, _)| item.clone());
+        Ok(Listing {
+            revision: data.revision,
+            items: items.filter(|i| i.key.starts_with(prefix)).collect(),
+        })
+    }
+
+    async fn swap(
+        &self,
+        conditions: &[Compare],
+        puts: Vec<Put>,
+    ) -> Result<Swap, Error> {
+        let mut data = self.call()?;
+        let keys: Vec<(&String, Revision)> = conditions
+            .iter()
+            .map(|c| match c {
+                Compare::Created(key, rev) | Compare::Modified(key, rev) => {
+                    (key, *rev)
+                }
+            })
+            .collect();
+        let holds = keys.iter().all(|(key, rev)| {
+            data.items.get(*key).map_or(0, |(i, _)| i.modified) == *rev
+        });
+        if !holds {
+            let items = keys.iter().filter_map(|(k, _)| data.items.get(*k));
+            let items = items.map(|(item, _)| item.clone()).collect();
+            return Ok(Swap::Refused(items));
+        }
+        data.write(puts);
+        match data.lose {
+            0 => Ok(Swap::Written(data.revision)),
+            _ => {
+                data.lose -= 1;
+                Err(Error::Lost(lost()))
+            }
+        }
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<LeaseId, Error> {
+        let mut data = self.call()?;
+        data.revision += 1;
+        let lease = data.revision;
+        data.leases.insert(lease, (Instant::now() + ttl, ttl));
+        Ok(lease)
+    }
+
+    async fn keep_alive(&self, lease: LeaseId) -> Result<bool, Error> {
+        let mut data = self.call()?;
+        let kept = data.leases.get_mut(&lease);
+        Ok(kept
+            .map(|(deadline, ttl)| *deadline = Instant::now() + *ttl)
+            .is_some())
+    }
+
+    async fn revoke(&self, lease: LeaseId) -> Result<(), Error> {
+        let mut data = self.call()?;
+        data.leases.remove(&lease);
+        data.drop_lease(lease);
+        Ok(())
+    }
+
+    async fn changes(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Changes, Error> {
+        let deadline = Instant::now() + wait;
+        let mut look = tokio::time::interval(Duration::from_millis(5));
+        loop {
+            look.tick().await;
+            let data = self.lock();
+            let about = |change: &&Change| {
+                let key = match change {
+                    Change::Put(item) => &item.key,
+                    Change::Deleted(key, _) => key,
+                };
+                change.revision() > after && key.starts_with(prefix)
+            };
+            let changes: Vec<Change> =
+                data.log.iter().filter(about).cloned().collect();
+            if !changes.is_empty() || Instant::now() >= deadline {
+                let revision = data.revision;
+                return Ok(Changes { revision, changes });
+            }
+        }
+    }
+}
+
+#[derive(Default)]
+struct Tasks {
+    token: Revision,
+    running: Vec<Running>,
+    ended: Vec<Ended>,
+    number: u64,
+    began: Vec<String>,
+    barred: Vec<(String, u32)>,
+}
+
+/// A worker whose tasks end when told.
+#[derive(Clone)]
+struct Fake {
+    tasks: Arc<Mutex<Tasks>>,
+    started: Instant,
+}
+
+impl Fake {
+    fn new() -> Fake {
+        Fake {
+            tasks: Arc::default(),
+            started: Instant::now(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Tasks> {
+        self.tasks.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn time(&self) -> WorkerTime {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    fn fenced(
+        &self,
+        call: &Call,
+    ) -> Result<MutexGuard<'_, Tasks>, worker::Error> {
+        let mut tasks = self.lock();
+        match call.token < tasks.token {
+            true => Err(worker::Error::Fenced),
+            false => {
+                tasks.token = call.token;
+                Ok(tasks)
+            }
+        }
+    }
+
+    fn end_all(&self, how: How) {
+        let mut tasks = self.lock();
+        for running in std::mem::take(&mut tasks.running) {
+            end(&mut tasks, running, how);
+        }
+    }
+}
+
+fn end(tasks: &mut Tasks, running: Running, how: How) {
+    tasks.number += 1;
+    let number = tasks.number;
+    tasks.ended.push(Ended {
+        number,
+        task: running.task,
+        run: running.run,
+        how,
+        saved: String::new(),
+    });
+}
+
+impl Worker for Fake {
+    async fn start(
+        &self,
+        call: &Call,
+        start: &Start,
+        _expires: WorkerTime,
+    ) -> Result<WorkerTime, worker::Error> {
+        let mut tasks = self.fenced(call)?;
+        let name = start.task.to_string();
+        let same = |r: &Running| r.task == start.task && r.run == start.run;
+        if tasks.running.iter().any(same) {
+            return Ok(self.time());
+        }
+        let over = |task: &String, run: u32| *task == name && start.run <= run;
+        let barred = tasks.barred.iter().any(|(t, r)| over(t, *r))
+            || tasks.ended.iter().any(|e| over(&e.task.to_string(), e.run));
+        if barred {
+            return Err(worker::Error::Refused(Refusal::Barred));
+        }
+        tasks.began.push(format!("{name} {}", start.run));
+        tasks.running.push(Running {
+            task: start.task.clone(),
+            run: start.run,
+            saved: String::new(),
+            pace: 100.0,
+            load: None,
+        });
+        Ok(self.time())
+    }
+
+    async fn stop(
+        &self,
+        call: &Call,
+        stop: &Stop,
+    ) -> Result<WorkerTime, worker::Error> {
+        let mut tasks = self.fenced(call)?;
+        let same = |r: &Running| r.task == stop.task && r.run == stop.run;
+        let at = tasks.running.iter().position(same);
+        if let Some(at) = at {
+            let running = tasks.running.remove(at);
+            end(&mut tasks, running, How::Stopped);
+        }
+        tasks.barred.push((stop.task.to_string(), stop.run));
+        Ok(self.time())
+    }
+
+    async fn look(
+        &self,
+        call: &Call,
+        noted: u64,
+        _expires: Option<WorkerTime>,
+        wait: Duration,
+    ) -> Result<Look, worker::Error> {
+        let deadline = Instant::now() + wait.min(Duration::from_millis(50));
+        loop {
+            {
+                let mut tasks = self.fenced(call)?;
+                tasks.ended.retain(|ended| ended.number > noted);
+                if !tasks.ended.is_empty() || Instant::now() >= deadline {
+                    return Ok(Look {
+                        time: self.time(),
+                        lists: Lists {
+                            running: tasks.running.clone(),
+                            ended: tasks.ended.clone(),
+                        },
+                    });
+                }
+            }
+            tokio::task::yield_now().await;
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+/// An entry's planner.
+struct Entry {
+    stop: watch::Sender<bool>,
+    planning: JoinHandle<()>,
+    _server: ServerHandle,
+}
+
+impl Entry {
+    async fn start(name: &str, store: &Memory) -> Entry {
+        let host = Host::new();
+        let server = Server::builder()
+            .build("127.0.0.1:0")
+            .await
+            .expect("a free port");
+        let address = server.local_addr().expect("bound").to_string();
+        let _server = server.start(host.clone().into_rpc());
+        let session = Session {
+            store: store.clone(),
+            holder: Holder {
+                process: name.to_owned(),
+                address,
+                life: "life".to_owned(),
+            },
+            host,
+            source: Source::new(),
+            terms: Terms::default(),
+            log: log::none(),
+        };
+        let (stop, stopped) = watch::channel(false);
+        Entry {
+            stop,
+            planning: tokio::spawn(session.run(stopped)),
+            _server,
+        }
+    }
+
+    /// Ends at once, without giving its claim back.
+    fn kill(self) {
+        self.planning.abort();
+    }
+
+    async fn stop(self) {
+        self.stop.send_replace(true);
+        self.planning.await.expect("stops");
+    }
+}
+
+fn agent(store: &Memory, worker: &Fake) -> JoinHandle<()> {
+    let config = Config {
+        agent: "agent".into(),
+        survival: Duration::from_secs(12),
+        lease: Duration::from_secs(6),
+        log: log::none(),
+    };
+    let member = Member::new(config, worker.clone(), store.clone());
+    member.heartbeat(Heartbeat {
+        life: "life-1".into(),
+        sequence: 1,
+        pool: "pool".into(),
+        machine: None,
+        hall: "hall".into(),
+        rack: "rack".into(),
+        labels: Vec::new(),
+        capacity: Resources {
+            cpu: 64_000,
+            memory: 100_000,
+            accelerators: 8,
+        },
+        leaving: false,
+        remaining: None,
+        time: Some(worker.time()),
+    });
+    tokio::spawn(async move { member.run().await })
+}
+
+fn job(id: &str) -> Job {
+    Job {
+        id: id.into(),
+        account: "account".into(),
+        queue: "queue".into(),
+        pool: "pool".into(),
+        priority: 1,
+        max_attempts: 3,
+        stretch: 3.0,
+        target: Duration::from_secs(1),
+        guarded: true,
+        accepted: SystemTime::now(),
+        spec: "spec".into(),
+        steps: vec![Step {
+            replicas: 2,
+            resources: Resources {
+                cpu: 1000,
+                memory: 1000,
+                accelerators: 1,
+            },
+            estimate: Duration::from_secs(60),
+            ..Step::default()
+        }],
+        repeat: None,
+        advice: None,
+    }
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(2)
+}
+
+async fn runs(worker: &Fake, wanted: usize) {
+    let running =
+        || async { (worker.lock().running.len() == wanted).then_some(()) };
+    until("the tasks run", running).await;
+}
+
+async fn reaches(admission: &Admission<Memory>, id: &str, wanted: Stage) {
+    let stage = || async {
+        let stage = admission.stage(id, soon()).await.ok().flatten();
+        (stage == Some(wanted)).then_some(())
+    };
+    until("the job's stage", stage).await;
+}
+
+const DONE: Stage = Stage::Ended(Outcome::Succeeded);
+
+#[tokio::test]
+async fn a_job_is_kept_run_once_and_done() {
+    let store = Memory::default();
+    let worker = Fake::new();
+    let admission = Admission::new(store.clone(), log::none());
+    let entry = Entry::start("entry", &store).await;
+    let agent = agent(&store, &worker);
+    let submitted = admission.submit(&job("a"), soon()).await;
+    assert_eq!(submitted, Submitted::Accepted);
+    // The same name again is the same job.
+    let submitted = admission.submit(&job("a"), soon()).await;
+    assert_eq!(submitted, Submitted::Accepted);
+    runs(&worker, 2).await;
+    worker.end_all(How::Done);
+    reaches(&admission, "a", DONE).await;
+    assert_eq!(worker.lock().began, ["a.0.0.0 1", "a.0.0.1 1"]);
+    let noted = || async { worker.lock().ended.is_empty().then_some(()) };
+    until("the ends are acknowledged", noted).await;
+    agent.abort();
+    entry.stop().await;
+}
+
+#[tokio::test]
+async fn an_agent_that_restarts_learns_the_token_and_keeps_the_tasks() {
+    let store = Memory::default();
+    let worker = Fake::new();
+    let admission = Admission::new(store.clone(), log::none());
+    let entry = Entry::start("entry", &store).await;
+    let first = agent(&store, &worker);
+    admission.submit(&job("a"), soon()).await;
+    runs(&worker, 2).await;
+    first.abort();
+    // Its worker is fenced against whoever knows no token.
+    let second = agent(&store, &worker);
+    worker.end_all(How::Done);
+    reaches(&admission, "a", DONE).await;
+    assert_eq!(worker.lock().began.len(), 2, "started again");
+    second.abort();
+    entry.kill();
+}
+
+#[tokio::test]
+async fn a_fenced_agent_does_not_call_its_worker_gone() {
+    let store = Memory::default();
+    let worker = Fake::new();
+    let admission = Admission::new(store.clone(), log::none());
+    let entry = Entry::start("entry", &store).await;
+    let first = agent(&store, &worker);
+    admission.submit(&job("a"), soon()).await;
+    runs(&worker, 2).await;
+    first.abort();
+    entry.kill();
+    worker.end_all(How::Done);
+    // Long without a planner: longer than a silent worker is waited for.
+    store.lock().refuse = u32::MAX;
+    let second = agent(&store, &worker);
+    let before = Instant::now();
+    let long =
+        || async { (before.elapsed() > Duration::from_secs(3)).then_some(()) };
+    until("time passes without the store", long).await;
+    store.lock().refuse = 0;
+    let entry = Entry::start("other", &store).await;
+    reaches(&admission, "a", DONE).await;
+    assert_eq!(worker.lock().began.len(), 2, "started again though done");
+    second.abort();
+    entry.kill();
+}
+
+#[tokio::test]
+async fn writes_whose_answers_are_lost_start_nothing_twice() {
+    let store = Memory::default();
+    let worker = Fake::new();
+    let admission = Admission::new(store.clone(), log::none());
+    let entry = Entry::start("entry", &store).await;
+    let agent = agent(&store, &worker);
+    store.lock().lose = 1;
+    let submitted = admission.submit(&job("a"), soon()).await;
+    assert_eq!(submitted, Submitted::Accepted, "the second try finds it");
+    store.lock().lose = 3;
+    runs(&worker, 2).await;
+    store.lock().lose = 3;
+    worker.end_all(How::Done);
+    reaches(&admission, "a", DONE).await;
+    assert_eq!(worker.lock().began.len(), 2);
+    agent.abort();
+    entry.kill();
+}
+
+#[tokio::test]
+async fn a_refusal_after_an_unanswered_write_is_not_given() {
+    let store = Memory::default();
+    let admission = Admission::new(store.clone(), log::none());
+    store.lock().refuse = u32::MAX;
+    let submitted = admission.submit(&job("b"), soon()).await;
+    assert_eq!(submitted, Submitted::Refused, "nothing was written");
+    {
+        let mut data = store.lock();
+        data.refuse = 0;
+        data.lose = 1;
+    }
+    // The write takes effect without an answer, and then the store is gone.
+    let late = Instant::now() + Duration::from_millis(50);
+    let submitted = admission.submit(&job("c"), late).await;
+    assert_eq!(submitted, Submitted::Unsure);
+    store.lock().refuse = u32::MAX;
+    let submitted = admission.submit(&job("c"), soon()).await;
+    assert_eq!(submitted, Submitted::Unsure, "it may be kept");
+}
+
+#[tokio::test]
+async fn another_entry_takes_over_and_a_cancel_stops_the_tasks() {
+    let store = Memory::default();
+    let worker = Fake::new();
+    let admission = Admission::new(store.clone(), log::none());
+    let first = Entry::start("first", &store).await;
+    let agent = agent(&store, &worker);
+    admission.submit(&job("a"), soon()).await;
+    runs(&worker, 2).await;
+    first.kill();
+    let second = Entry::start("second", &store).await;
+    assert!(admission.cancel("a", soon()).await.expect("answered"));
+    runs(&worker, 0).await;
+    let cancelled = Stage::Ended(Outcome::Cancelled);
+    reaches(&admission, "a", cancelled).await;
+    assert_eq!(worker.lock().began.len(), 2, "nothing began anew");
+    agent.abort();
+    second.kill();
+}
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decision core, the replay and the processes.
 
+mod cell;
 mod examples;
 mod gang_steps;
 mod graph;
