--- a/tests/it/graph.rs
+++ b/tests/it/graph.rs
@@ -350,3 +350,80 @@
         assert_eq!(site.running("big"), 1, "worker {worker} is free");
     }
 }
+
+#[test]
+fn a_run_is_ordered_only_once_it_is_written() {
+    let mut site = Site::new(&[("w1", "r1")]);
+    site.submit(job("j", 1, vec![step(1, 1, false)], &site));
+    let report = site.workers[0].report();
+    site.book.report(report, site.now);
+    site.book.step(site.now);
+    let agent = site.workers[0].agent.clone();
+    assert_eq!(site.book.orders(&agent).starts, [], "not written yet");
+    site.write();
+    assert_eq!(site.book.orders(&agent).starts.len(), 1);
+}
+
+#[test]
+fn a_new_planner_orders_the_same_run_again_and_no_other() {
+    let mut site = Site::new(&[("w1", "r1")]);
+    site.submit(job("j", 1, vec![step(1, 1, false)], &site));
+    site.settle();
+    let kept = site.book.progress("j").cloned();
+    let mut next = Site::new(&[("w1", "r1")]);
+    next.workers = site.workers;
+    next.book.accept(
+        job("j", 1, vec![step(1, 1, false)], &next),
+        kept,
+        next.now,
+    );
+    next.settle();
+    assert_eq!(next.workers[0].began, ["j.0.0.0 1"]);
+}
+
+#[test]
+fn a_silent_worker_s_tasks_begin_elsewhere_only_after_its_leases() {
+    let mut site = Site::new(&[("w1", "r1"), ("w2", "r2")]);
+    site.submit(job("j", 1, vec![step(1, 1, false)], &site));
+    site.settle();
+    let on = usize::from(site.workers[0].running.is_empty());
+    let mut silent = site.workers.remove(on);
+    // 12.8 s of leases, and 0.2 s before the unit is placed again.
+    for second in 1..=15 {
+        site.pass(Duration::from_secs(1));
+        site.settle();
+        let began = site.workers[0].running.len();
+        let over = second >= 14;
+        assert_eq!(began, usize::from(over), "after {second} s");
+    }
+    // What it lists when it is back counts no more.
+    silent.end(How::Done, |_| true);
+    site.workers.push(silent);
+    site.settle();
+    assert_eq!(site.outcome("j"), None);
+}
+
+#[test]
+fn a_leaving_worker_gets_nothing_new() {
+    let mut site = Site::new(&[("w1", "r1")]);
+    site.workers[0].leaving = true;
+    site.submit(job("j", 1, vec![step(1, 1, false)], &site));
+    site.settle();
+    assert_eq!(site.running("j"), 0);
+}
+
+#[test]
+fn a_job_fails_after_as_many_failed_runs_as_its_queue_allows() {
+    let mut site = Site::new(TWO);
+    site.submit(job("j", 1, vec![step(1, 1, false)], &site));
+    for _ in 0..3 {
+        site.pass(Duration::from_secs(70));
+        site.settle();
+        assert_eq!(site.running("j"), 1);
+        for worker in &mut site.workers {
+            worker.end(How::Failed, |_| true);
+        }
+        site.settle();
+    }
+    assert_eq!(site.outcome("j"), Some(Outcome::Failed));
+}
