Throw away little for urgent work beyond its guarantee

Change: beyond what its account is guaranteed, an urgent unit stops others only if at most 120 core-seconds are lost by it.

--- a/src/graph/preempt.rs
+++ b/src/graph/preempt.rs
@@ -13,13 +13,18 @@
 use crate::graph::AgentId;
 use crate::graph::Book;
 use crate::graph::Id;
+use crate::graph::Job;
 use crate::graph::Moment;
 use crate::graph::Place;
 use crate::graph::Resources;
+use crate::graph::Step;
 use crate::graph::UnitKey;
 
 /// The thousandths of a core that an accelerator's work counts as.
 const ACCELERATOR_CPU: i64 = 8000;
+/// The most core-seconds that are thrown away for one urgent unit beyond its
+/// account's guarantee. Of 300 and 120 the smaller earned a little more.
+const MOST_LOST: f64 = 120.0;
 /// The work of a checkpointing unit that a stop loses: from its last
 /// checkpoint, and resuming.
 const LOST_WITH_CHECKPOINT: Duration = Duration::from_millis(300);
@@ -71,6 +76,9 @@
         let Some(eviction) = best else {
             return false;
         };
+        if eviction.cost > MOST_LOST && !self.is_guaranteed(request) {
+            return false;
+        }
         self.reserve(id, key, eviction.places, now);
         for at in eviction.victims {
             let victim = &victims[at];
@@ -79,6 +87,23 @@
         true
     }
 
+    /// Returns whether all urgent work of a unit's account fits into what
+    /// the account is guaranteed.
+    fn is_guaranteed(&self, request: &Request) -> bool {
+        let Some(entry) = self.jobs.get(&request.id) else {
+            return false;
+        };
+        let account = &entry.job.account;
+        let urgent = self.live().filter(|other| {
+            !other.over()
+                && other.job.priority == 0
+                && other.job.account == *account
+        });
+        let needed: i64 = urgent.map(|other| accelerators(&other.job)).sum();
+        let guaranteed = self.guarantees.get(account).copied();
+        needed <= guaranteed.unwrap_or(0)
+    }
+
     fn victims(&self, request: &Request, now: Moment) -> Vec<Victim> {
         let mut victims = Vec::new();
         for entry in self.live() {
@@ -101,6 +126,13 @@
     }
 }
 
+/// Returns the most accelerators that a step of a job takes.
+fn accelerators(job: &Job) -> i64 {
+    let step =
+        |step: &Step| i64::from(step.replicas) * step.resources.accelerators;
+    job.steps.iter().map(step).max().unwrap_or(0)
+}
+
 fn victim(entry: &Entry, key: &UnitKey, unit: &Unit, now: Moment) -> Victim {
     let step = &entry.job.steps[key.step];
     let charge = step.charge();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,9 @@
 //! * [`wire`] is what these processes say to each other; [`store`], [`vms`]
 //!   and [`endpoint`] are the seams towards the platform; [`http`] both
 //!   sides of HTTP.
+//! * [`graph`] decides about jobs of steps, and [`cell`] carries that out on
+//!   any [`store::Store`]; `landingvalve-platform` brings both to the users'
+//!   platform. The two cores are to become one.
 //! * [`settings`], [`log`] and [`telemetry`] make programs of it all.
 //!
 //! # Deciding
--- a/tests/it/graph.rs
+++ b/tests/it/graph.rs
@@ -427,3 +427,24 @@
     }
     assert_eq!(site.outcome("j"), Some(Outcome::Failed));
 }
+
+#[test]
+fn costly_work_is_stopped_for_a_guarantee_alone() {
+    for guaranteed in [0, 8] {
+        let mut site = Site::new(&[("w1", "r1")]);
+        let guarantees = [("account".into(), guaranteed)].into();
+        site.book.set_guarantees(guarantees);
+        site.submit(job("long", 1, vec![step(1, 8, false)], &site));
+        site.settle();
+        // 65 cores' worth for 10 s: more than an urgent job is worth.
+        site.pass(Duration::from_secs(1));
+        for _ in 0..9 {
+            site.settle();
+            site.pass(Duration::from_secs(1));
+        }
+        site.submit(job("urgent", 0, vec![step(1, 8, false)], &site));
+        site.settle();
+        let urgent = site.running("urgent");
+        assert_eq!(urgent, usize::from(guaranteed == 8));
+    }
+}
