--- a/src/graph/book.rs
+++ b/src/graph/book.rs
@@ -414,6 +414,31 @@
         }
     }
 
+    pub(super) fn occupy(&mut self, place: &Place, charge: &Resources) {
+        if let Some(worker) = self.workers.get_mut(&place.agent) {
+            if worker.life == place.life {
+                worker.used = worker.used.plus(charge);
+            }
+        }
+    }
+
+    /// Adds to what is kept on a worker.
+    pub(super) fn keep(&mut self, place: &Place, charge: &Resources) {
+        if let Some(worker) = self.workers.get_mut(&place.agent) {
+            if worker.life == place.life {
+                worker.kept = worker.kept.plus(charge);
+            }
+        }
+    }
+
+    pub(super) fn vacate(&mut self, place: &Place, charge: &Resources) {
+        if let Some(worker) = self.workers.get_mut(&place.agent) {
+            if worker.life == place.life {
+                worker.used = worker.used.minus(charge);
+            }
+        }
+    }
+
     pub(super) fn succeed_if_done(&mut self, id: &str, now: Moment) {
         let Some(entry) = self.jobs.get(id) else {
             return;
--- /dev/null
+++ b/src/graph/loss.rs
@@ -0,0 +1,133 @@
+//! Workers that are gone, and runs that stand still.
+
+use std::time::Duration;
+
+use crate::graph::book::Member;
+use crate::graph::book::Phase;
+use crate::graph::book::State;
+use crate::graph::book::Unit;
+use crate::graph::book::Why;
+use crate::graph::settle::End;
+use crate::graph::Book;
+use crate::graph::Moment;
+use crate::graph::Place;
+
+/// How long a member may show no work before it may be taken for stuck.
+const STUCK: Duration = Duration::from_millis(2600);
+/// How many times longer than expected a run may take that has shown work.
+const OVERDUE: f64 = 4.0;
+/// How many times longer a run may take that has never shown any.
+const OVERDUE_IDLE: f64 = 1.5;
+
+impl Book {
+    /// Ends the members on places that are gone.
+    pub(super) fn lose(&mut self, gone: impl Fn(&Place) -> bool, now: Moment) {
+        let mut lost = Vec::new();
+        for entry in self.live() {
+            for (key, unit) in &entry.units {
+                let Phase::Running(members) = &unit.phase else {
+                    continue;
+                };
+                let here = members.iter().enumerate().filter(|(_, m)| {
+                    m.state != State::Ended && gone(&m.place)
+                });
+                lost.extend(
+                    here.map(|(at, _)| (entry.job.id.clone(), *key, at)),
+                );
+            }
+        }
+        for (id, key, at) in lost {
+            self.end_member(&id, &key, at, End::Gone, now);
+        }
+        self.unreserve_lost(gone, now);
+    }
+
+    fn unreserve_lost(&mut self, gone: impl Fn(&Place) -> bool, now: Moment) {
+        let mut given_up = Vec::new();
+        for entry in self.live() {
+            for (key, unit) in &entry.units {
+                if let Phase::Reserved(members) = &unit.phase {
+                    if members.iter().any(|m| gone(&m.place)) {
+                        given_up.push((entry.job.id.clone(), *key));
+                    }
+                }
+            }
+        }
+        for (id, key) in given_up {
+            self.stop_unit(&id, &key, Why::Broken, now);
+        }
+    }
+
+    /// Takes the members for gone whose agents have been silent for so long
+    /// that their workers' leases have run out.
+    pub(super) fn lose_silent(&mut self, now: Moment) {
+        let wait = self.terms.survival + self.terms.margin;
+        let mut silent = Vec::new();
+        for entry in self.live() {
+            let members = entry.units.values().flat_map(Unit::members);
+            for member in members {
+                let heard = self
+                    .workers
+                    .get(&member.place.agent)
+                    .filter(|worker| worker.life == member.place.life)
+                    .map_or(self.began, |worker| worker.granted);
+                if now.now >= heard + wait && !silent.contains(&member.place) {
+                    silent.push(member.place.clone());
+                }
+            }
+        }
+        for place in silent {
+            self.note(format!("worker {} is taken for gone", place.life));
+            self.lose(|other| *other == place, now);
+        }
+    }
+
+    /// Stops the runs that make no progress.
+    pub(super) fn stop_stuck(&mut self, now: Moment) {
+        let mut stuck = Vec::new();
+        for entry in self.live() {
+            for (key, unit) in &entry.units {
+                let step = &entry.job.steps[key.step];
+                if !matches!(unit.phase, Phase::Running(_))
+                    || unit.stop.is_some()
+                    || step.lasting
+                {
+                    continue;
+                }
+                let expected = self.history.expect(&entry.job.queue, step);
+                let far = step.same_rack || step.data_rack.is_some();
+                let expected = match far {
+                    true => expected.mul_f64(self.terms.far),
+                    false => expected,
+                };
+                if unit.members().any(|m| self.is_stuck(m, expected, now)) {
+                    stuck.push((entry.job.id.clone(), *key));
+                }
+            }
+        }
+        for (id, key) in stuck {
+            self.stop_unit(&id, &key, Why::Stuck, now);
+        }
+    }
+
+    /// Returns whether a member has run so long without a sign of work that
+    /// it is taken for stuck. A figure of 0 alone says little: tasks that
+    /// work were seen to show it for seconds.
+    fn is_stuck(
+        &self,
+        member: &Member,
+        expected: Duration,
+        now: Moment,
+    ) -> bool {
+        let worker = self.workers.get(&member.place.agent);
+        let fresh = worker.is_some_and(|worker| {
+            now.now < worker.granted + self.terms.contact
+        });
+        let factor = match member.worked {
+            true => OVERDUE,
+            false => OVERDUE_IDLE,
+        };
+        let overdue = member.since + expected.mul_f64(factor) + STUCK;
+        fresh && now.now >= overdue && now.now >= member.moved + STUCK
+    }
+}
--- a/src/graph/mod.rs
+++ b/src/graph/mod.rs
@@ -18,6 +18,7 @@
 mod history;
 mod intake;
 mod job;
+mod loss;
 mod orders;
 mod place;
 mod preempt;
@@ -25,6 +26,7 @@
 mod report;
 mod reserve;
 mod schedule;
+mod settle;
 
 pub use book::Book;
 pub use book::Terms;
--- a/src/graph/place.rs
+++ b/src/graph/place.rs
@@ -104,22 +104,30 @@
         request: &Request,
         now: Moment,
     ) -> Option<Vec<Place>> {
+        let choices = self.choices(request, now).into_iter();
+        choices.filter_map(|chosen| fill(request, chosen)).next()
+    }
+
+    /// Returns the workers to try together, the best choice first.
+    pub(super) fn choices(
+        &self,
+        request: &Request,
+        now: Moment,
+    ) -> Vec<Vec<Candidate>> {
         let candidates = self.candidates(request, now);
-        for racks in self.choices(request, &candidates, now) {
-            let chosen = candidates
-                .iter()
-                .filter(|c| racks.as_ref().is_none_or(|r| r.contains(&c.rack)))
-                .cloned()
-                .collect();
-            if let Some(places) = fill(request, chosen) {
-                return Some(places);
-            }
-        }
-        None
+        let within = |racks: Option<BTreeSet<Text>>| {
+            let chosen = candidates.iter().filter(|candidate| {
+                let racks = racks.as_ref();
+                racks.is_none_or(|racks| racks.contains(&candidate.rack))
+            });
+            chosen.cloned().collect()
+        };
+        let racks = self.racks(request, &candidates, now).into_iter();
+        racks.map(within).collect()
     }
 
     /// Returns the sets of racks to try in turn; `None` is all of them.
-    pub(super) fn choices(
+    fn racks(
         &self,
         request: &Request,
         candidates: &[Candidate],
--- a/src/graph/preempt.rs
+++ b/src/graph/preempt.rs
@@ -58,20 +58,10 @@
         now: Moment,
     ) -> bool {
         let victims = self.victims(request, now);
-        let candidates = self.candidates(request, now);
         let best = self
-            .choices(request, &candidates, now)
+            .choices(request, now)
             .into_iter()
-            .filter_map(|racks| {
-                let chosen: Vec<Candidate> = candidates
-                    .iter()
-                    .filter(|c| {
-                        racks.as_ref().is_none_or(|r| r.contains(&c.rack))
-                    })
-                    .cloned()
-                    .collect();
-                evict(request, chosen, &victims)
-            })
+            .filter_map(|chosen| evict(request, chosen, &victims))
             .min_by(|a, b| a.cost.total_cmp(&b.cost));
         let Some(eviction) = best else {
             return false;
--- a/src/graph/reserve.rs
+++ b/src/graph/reserve.rs
@@ -46,25 +46,16 @@
         if now.now < request.ready + PATIENCE {
             return false;
         }
-        let candidates = self.candidates(request, now);
+        let workers = self.candidates(request, now).len();
         let kept = self.kept_workers(request);
-        let most = (candidates.len() as f64 * SHARE).ceil() as usize;
+        let most = (workers as f64 * SHARE).ceil() as usize;
         if kept.len() >= most {
             return false;
         }
         let best = self
-            .choices(request, &candidates, now)
+            .choices(request, now)
             .into_iter()
-            .filter_map(|racks| {
-                let chosen: Vec<Candidate> = candidates
-                    .iter()
-                    .filter(|c| {
-                        racks.as_ref().is_none_or(|r| r.contains(&c.rack))
-                    })
-                    .cloned()
-                    .collect();
-                self.soonest(request, chosen, now)
-            })
+            .filter_map(|chosen| self.soonest(request, chosen, now))
             .min_by_key(|(at, _)| *at);
         let Some((_, places)) = best else {
             return false;
--- /dev/null
+++ b/src/graph/settle.rs
@@ -0,0 +1,256 @@
+//! The ends of runs, and what becomes of their units.
+
+use std::time::Duration;
+
+use crate::graph::book::Phase;
+use crate::graph::book::State;
+use crate::graph::book::Why;
+use crate::graph::AgentId;
+use crate::graph::Book;
+use crate::graph::How;
+use crate::graph::Id;
+use crate::graph::Moment;
+use crate::graph::Outcome;
+use crate::graph::Place;
+use crate::graph::Refusal;
+use crate::graph::Resources;
+use crate::graph::UnitKey;
+
+/// How long a unit waits after a run that failed or was refused.
+const AGAIN: Duration = Duration::from_millis(200);
+
+/// What came of a member's run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum End {
+    /// Its worker listed how it ended.
+    Listed(How),
+    /// It never began, and never will.
+    Never(Refusal),
+    /// Its worker is gone.
+    Gone,
+}
+
+impl Book {
+    /// Takes in how a member's run ended, and moves its unit on.
+    pub(super) fn end_member(
+        &mut self,
+        id: &str,
+        key: &UnitKey,
+        at: usize,
+        end: End,
+        now: Moment,
+    ) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let charge = entry.job.steps[key.step].charge();
+        let job = entry.job.id.clone();
+        let from = entry.progress.units.get(key);
+        let whole = from.is_some_and(|kept| kept.from.is_empty());
+        let Some(unit) = entry.units.get_mut(key) else {
+            return;
+        };
+        let Phase::Running(members) = &mut unit.phase else {
+            return;
+        };
+        let member = &mut members[at];
+        member.state = State::Ended;
+        let place = member.place.clone();
+        let since = member.since;
+        let stopped = unit.stop;
+        let mut counts = false;
+        let mut learnt = None;
+        match end {
+            End::Listed(How::Done) => {
+                unit.any_done = true;
+                let ran = now.now.saturating_duration_since(since);
+                learnt = whole.then_some(ran);
+            }
+            End::Listed(How::Failed) => {
+                // Counted at once, whatever becomes of the other members:
+                // the end may be acknowledged before theirs are known.
+                counts = !unit.any_failed;
+                unit.any_failed = true;
+                unit.avoid.push(place.agent.clone());
+            }
+            End::Never(Refusal::Room | Refusal::Unhealthy) => {
+                unit.avoid.push(place.agent.clone());
+            }
+            _ => {}
+        }
+        let queue = entry.job.queue.clone();
+        let kept = entry.progress.units.entry(*key).or_default();
+        kept.failed += u32::from(counts);
+        let run = kept.run;
+        if counts {
+            self.touch(id);
+        }
+        if let Some(ran) = learnt {
+            self.history.learn(&queue, ran);
+        }
+        self.note(format!(
+            "task {id}.{key}/{at} run {run} at {} {}: {end:?}",
+            place.agent, place.life
+        ));
+        self.vacate(&place, &charge);
+        self.judge(&place, &job, end, stopped, now);
+        self.settle_unit(id, key, now);
+    }
+
+    fn judge(
+        &mut self,
+        place: &Place,
+        job: &Id,
+        end: End,
+        stopped: Option<Why>,
+        now: Moment,
+    ) {
+        let Some(worker) = self.workers.get_mut(&place.agent) else {
+            return;
+        };
+        let apart = match end {
+            End::Listed(How::Done) => {
+                worker.health.done();
+                false
+            }
+            End::Listed(How::Failed) => worker.health.failed(job, now.now),
+            End::Never(Refusal::Unhealthy) => worker.health.stuck(now.now),
+            End::Listed(_) if stopped == Some(Why::Stuck) => {
+                worker.health.stuck(now.now)
+            }
+            _ => false,
+        };
+        if apart {
+            self.note(format!("worker {} is kept apart", place.life));
+        }
+    }
+
+    /// Moves a unit on after one of its members has ended.
+    fn settle_unit(&mut self, id: &str, key: &UnitKey, now: Moment) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let over = entry.over();
+        let lasting = entry.job.steps[key.step].lasting;
+        let limit = entry.job.max_attempts;
+        let Some(unit) = entry.units.get_mut(key) else {
+            return;
+        };
+        let Phase::Running(members) = &unit.phase else {
+            return;
+        };
+        let left = members.iter().any(|m| m.state != State::Ended);
+        let done = unit.any_done && !lasting;
+        let Some(kept) = entry.progress.units.get_mut(key) else {
+            return;
+        };
+        if done && !kept.done {
+            // One member's end counts for the whole gang.
+            kept.done = true;
+            kept.on.clear();
+            kept.saved.clear();
+            self.touch(id);
+            self.succeed_if_done(id, now);
+        } else if left && !done {
+            // The others of a gang cannot go on alone.
+            self.stop_unit(id, key, Why::Broken, now);
+        }
+        if left {
+            return;
+        }
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Some(unit) = entry.units.get_mut(key) else {
+            return;
+        };
+        unit.stop = None;
+        unit.ready = now.now;
+        unit.any_failed = false;
+        unit.any_done = false;
+        if done {
+            unit.phase = Phase::Done;
+            return;
+        }
+        unit.phase = Phase::Waiting;
+        unit.not_before = now.now + AGAIN;
+        let Some(kept) = entry.progress.units.get_mut(key) else {
+            return;
+        };
+        kept.on.clear();
+        let spent = !lasting && kept.failed >= limit;
+        self.touch(id);
+        if spent && !over {
+            self.finish(id, Outcome::Failed, now);
+        }
+    }
+
+    /// Stops a unit's run, or gives up the place that it waits for.
+    pub(super) fn stop_unit(
+        &mut self,
+        id: &str,
+        key: &UnitKey,
+        why: Why,
+        now: Moment,
+    ) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Some(unit) = entry.units.get_mut(key) else {
+            return;
+        };
+        match &unit.phase {
+            Phase::Reserved(_) => {
+                self.unreserve(id, key);
+            }
+            Phase::Running(_) if unit.stop.is_none() => {
+                unit.stop = Some(why);
+                let agents: Vec<AgentId> =
+                    unit.members().map(|m| m.place.agent.clone()).collect();
+                self.stirred.extend(agents);
+                self.note(format!("unit {id}.{key} is stopped: {why:?}"));
+                self.end_unhanded(id, key, now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Ends the members whose start was never handed out.
+    fn end_unhanded(&mut self, id: &str, key: &UnitKey, now: Moment) {
+        let unhanded = |book: &Book| {
+            let unit = book.jobs.get(id)?.units.get(key)?;
+            let Phase::Running(members) = &unit.phase else {
+                return None;
+            };
+            members.iter().position(|m| {
+                !m.handed && matches!(m.state, State::Ordered(_))
+            })
+        };
+        while let Some(at) = unhanded(self) {
+            let end = End::Never(Refusal::Barred);
+            self.end_member(id, key, at, end, now);
+        }
+    }
+
+    /// Gives up the room that is kept for a unit; returns where it was.
+    pub(super) fn unreserve(&mut self, id: &str, key: &UnitKey) -> Vec<Place> {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return Vec::new();
+        };
+        let charge = entry.job.steps[key.step].charge();
+        let Some(unit) = entry.units.get_mut(key) else {
+            return Vec::new();
+        };
+        let Phase::Reserved(members) = &unit.phase else {
+            return Vec::new();
+        };
+        let places: Vec<Place> =
+            members.iter().map(|m| m.place.clone()).collect();
+        unit.phase = Phase::Waiting;
+        for place in &places {
+            self.vacate(place, &charge);
+            self.keep(place, &Resources::default().minus(&charge));
+        }
+        places
+    }
+}
