Let the longest waiting use kept but empty room while most is empty

Change: while less than half of a pool is in use, a unit whose room is kept, or that has waited 2 s, may take any room that is empty.

--- a/src/graph/place.rs
+++ b/src/graph/place.rs
@@ -37,6 +37,8 @@
     pub per_worker: Option<u32>,
     pub avoid: Vec<AgentId>,
     pub ready: Instant,
+    /// Whether it may use room that is kept for others but empty.
+    pub past_kept: bool,
     /// How long it is expected to run.
     pub expected: Duration,
 }
@@ -62,6 +64,7 @@
             per_worker: step.per_worker,
             avoid: unit.avoid.clone(),
             ready: unit.ready,
+            past_kept: false,
             expected,
         }
     }
@@ -181,7 +184,10 @@
                     life: worker.life.clone(),
                 },
                 rack: worker.rack.clone(),
-                free: worker.free(),
+                free: match request.past_kept {
+                    true => worker.empty(),
+                    false => worker.free(),
+                },
                 quota: self.quota(request, agent),
                 doubt: worker.health.doubt(),
             })
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -19,11 +19,14 @@
 use crate::graph::Place;
 use crate::graph::Resources;
 use crate::graph::Step;
+use crate::graph::Text;
 use crate::graph::UnitKey;
 
 /// How long before a leaving worker is gone its tasks are stopped, so that
 /// their checkpoints are kept: a stop, and a report of it.
 const BEFORE_LEAVING: Duration = Duration::from_millis(1500);
+/// How long room is kept from a unit that waits while most is empty.
+const LONGEST_IDLE: Duration = Duration::from_millis(2000);
 /// The times of a job that may be open at once.
 const OPEN_TIMES: u32 = 64;
 
@@ -143,7 +146,10 @@
         let expected = self
             .history
             .expect(&entry.job.queue, &entry.job.steps[key.step]);
-        let request = Request::new(entry, key, unit, expected);
+        let mut request = Request::new(entry, key, unit, expected);
+        // While most is empty, whoever has waited longest takes of it, or
+        // units would wait for each other's rooms.
+        request.past_kept = self.mostly_idle(&entry.job.pool);
         if let Some(places) = self.place(&request, now) {
             self.unreserve(id, key);
             self.give_run(id, key, places, now);
@@ -254,7 +260,9 @@
         };
         let step = &entry.job.steps[waiting.key.step];
         let expected = self.history.expect(&entry.job.queue, step);
-        let request = Request::new(entry, &waiting.key, unit, expected);
+        let mut request = Request::new(entry, &waiting.key, unit, expected);
+        request.past_kept = now.now >= unit.ready + LONGEST_IDLE
+            && self.mostly_idle(&entry.job.pool);
         if let Some(places) = self.place(&request, now) {
             self.give_run(&waiting.id, &waiting.key, places, now);
             return true;
@@ -265,6 +273,14 @@
         }
     }
 
+    /// Returns whether less than half of a pool's accelerators are in use.
+    fn mostly_idle(&self, pool: &Text) -> bool {
+        let workers = || self.workers.values().filter(|w| w.pool == *pool);
+        let whole: i64 = workers().map(|w| w.capacity.accelerators).sum();
+        let empty: i64 = workers().map(|w| w.empty().accelerators).sum();
+        empty * 2 > whole
+    }
+
     /// Gives a unit its next run, on workers that have room for it.
     pub(super) fn give_run(
         &mut self,
--- a/tests/it/graph.rs
+++ b/tests/it/graph.rs
@@ -448,3 +448,28 @@
         assert_eq!(urgent, usize::from(guaranteed == 8));
     }
 }
+
+#[test]
+fn units_with_kept_room_do_not_wait_for_each_other() {
+    let four = [("w1", "r1"), ("w2", "r1"), ("w3", "r1"), ("w4", "r1")];
+    let mut site = Site::new(&four);
+    // Four workers are taken; two gangs of two workers keep room on them.
+    site.submit(job("a", 1, vec![step(4, 8, false)], &site));
+    site.settle();
+    let mut gang = step(2, 8, true);
+    gang.same_rack = false;
+    site.submit(job("b", 1, vec![gang.clone()], &site));
+    site.settle();
+    site.pass(Duration::from_secs(2));
+    site.settle();
+    site.submit(job("c", 1, vec![gang], &site));
+    site.settle();
+    site.pass(Duration::from_secs(2));
+    site.settle();
+    // Most becomes free, whichever it is: one of the gangs begins.
+    for at in [1, 2, 3] {
+        site.workers[at].end(How::Done, |_| true);
+    }
+    site.settle();
+    assert!(site.running("b") + site.running("c") >= 2);
+}
