Wait for a rack as long as being spread would cost

A gang wider than any rack waited 2 s for nothing. Change: the near racks are tried until ready + (far - 1) x expected x 0.5; the bound of 2 s stands only while most of the pool is idle. A unit that no near rack holds even when empty waits for none.

--- a/src/graph/job.rs
+++ b/src/graph/job.rs
@@ -34,6 +34,19 @@
             && self.accelerators >= other.accelerators
     }
 
+    /// Returns how many times `other` fits into these.
+    pub fn times(&self, other: &Resources) -> u32 {
+        let fit = |have: i64, each: i64| match each {
+            ..=0 if have >= each => i64::MAX,
+            ..=0 => 0,
+            _ => (have / each).max(0),
+        };
+        let times = fit(self.cpu, other.cpu)
+            .min(fit(self.memory, other.memory))
+            .min(fit(self.accelerators, other.accelerators));
+        u32::try_from(times).unwrap_or(u32::MAX)
+    }
+
     /// Returns these with `other` added.
     pub fn plus(&self, other: &Resources) -> Resources {
         Resources {
--- a/src/graph/place.rs
+++ b/src/graph/place.rs
@@ -8,6 +8,7 @@
 use crate::graph::book::Entry;
 use crate::graph::book::Unit;
 use crate::graph::book::Worker;
+use crate::graph::schedule::LONGEST_IDLE;
 use crate::graph::AgentId;
 use crate::graph::Book;
 use crate::graph::Id;
@@ -19,8 +20,6 @@
 
 /// The share of what a far run costs more that is waited for a near place.
 const WAIT_FOR_NEAR: f64 = 0.5;
-/// The longest that is waited for a near place while others have room.
-const LONGEST_WAIT: Duration = Duration::from_millis(2000);
 
 /// What a unit needs.
 #[derive(Clone, Debug)]
@@ -90,13 +89,7 @@
 impl Candidate {
     /// Returns how many tasks fit.
     pub fn slots(&self, charge: &Resources) -> u32 {
-        let mut free = self.free;
-        let mut slots = 0;
-        while slots < self.quota && free.holds(charge) {
-            free = free.minus(charge);
-            slots += 1;
-        }
-        slots
+        self.free.times(charge).min(self.quota)
     }
 }
 
@@ -141,8 +134,9 @@
             *racks.entry(candidate.rack.clone()).or_default() +=
                 candidate.slots(&request.charge);
         }
+        let roomy = self.roomy_racks(request);
+        let near = racks.iter().filter(|(rack, _)| roomy.contains(*rack));
         let mut choices = Vec::new();
-        let near = racks.iter().filter(|(rack, _)| request.near(rack));
         if request.same_rack {
             let mut near: Vec<(&Text, &u32)> = near.collect();
             // The tightest rack that has room goes first.
@@ -150,18 +144,44 @@
             choices.extend(
                 near.iter().map(|(rack, _)| Some([(*rack).clone()].into())),
             );
-        } else if request.data_rack.is_some() {
+        } else if request.data_rack.is_some() && !roomy.is_empty() {
             choices.push(Some(near.map(|(rack, _)| rack.clone()).collect()));
         }
-        let dear = request.expected.mul_f64((self.terms.far - 1.0).max(0.0));
-        let patient =
-            request.ready + dear.mul_f64(WAIT_FOR_NEAR).min(LONGEST_WAIT);
-        if choices.is_empty() || now.now >= patient {
+        if choices.is_empty() || now.now >= self.near_until(request) {
             choices.push(None);
         }
         choices
     }
 
+    /// Returns the racks where a unit is not slow and has room once they
+    /// are empty.
+    fn roomy_racks(&self, request: &Request) -> BTreeSet<Text> {
+        let mut slots: BTreeMap<&Text, u32> = BTreeMap::new();
+        let most = request.per_worker.unwrap_or(u32::MAX);
+        for worker in self.workers.values() {
+            let here = slots.entry(&worker.rack).or_default();
+            if worker.pool == request.pool && !worker.leaving && !worker.gone {
+                *here += worker.capacity.times(&request.charge).min(most);
+            }
+        }
+        slots
+            .into_iter()
+            .filter(|(rack, _)| request.near(rack))
+            .filter(|(_, slots)| *slots >= request.width)
+            .map(|(rack, _)| rack.clone())
+            .collect()
+    }
+
+    /// Returns until when only racks will do where a unit is not slow.
+    fn near_until(&self, request: &Request) -> Instant {
+        let dear = request.expected.mul_f64((self.terms.far - 1.0).max(0.0));
+        let wait = dear.mul_f64(WAIT_FOR_NEAR);
+        match self.mostly_idle(&request.pool) {
+            true => request.ready + wait.min(LONGEST_IDLE),
+            false => request.ready + wait,
+        }
+    }
+
     /// Returns the workers that a unit may use, whatever room they have.
     pub(super) fn candidates(
         &self,
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -26,7 +26,7 @@
 /// their checkpoints are kept: a stop, and a report of it.
 const BEFORE_LEAVING: Duration = Duration::from_millis(1500);
 /// How long room is kept from a unit that waits while most is empty.
-const LONGEST_IDLE: Duration = Duration::from_millis(2000);
+pub(super) const LONGEST_IDLE: Duration = Duration::from_millis(2000);
 /// The times of a job that may be open at once.
 const OPEN_TIMES: u32 = 64;
 
@@ -274,7 +274,7 @@
     }
 
     /// Returns whether less than half of a pool's accelerators are in use.
-    fn mostly_idle(&self, pool: &Text) -> bool {
+    pub(super) fn mostly_idle(&self, pool: &Text) -> bool {
         let workers = || self.workers.values().filter(|w| w.pool == *pool);
         let whole: i64 = workers().map(|w| w.capacity.accelerators).sum();
         let empty: i64 = workers().map(|w| w.empty().accelerators).sum();
--- a/tests/it/graph.rs
+++ b/tests/it/graph.rs
@@ -191,7 +191,7 @@
         running.filter(|r| &*r.task.job == id).count()
     }
 
-    fn end_all(&mut self, id: &str) {
+    pub fn end_all(&mut self, id: &str) {
         for worker in &mut self.workers {
             worker.end(How::Done, |r| &*r.task.job == id);
         }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod examples;
 mod gang_steps;
 mod graph;
+mod near;
 mod pages;
 mod plan_health;
 mod plan_mask;
