--- a/src/cell/configuration.rs
+++ b/src/cell/configuration.rs
@@ -23,6 +23,9 @@
 const CALL: Duration = Duration::from_millis(1200);
 /// How long is waited after a read that failed.
 const AGAIN: Duration = Duration::from_millis(120);
+/// How old knowledge may be for new callers to be taken: two reads, the
+/// slowest of the store's answers seen with them.
+const IN_TOUCH: Duration = Duration::from_millis(1200);
 
 /// A queue that callers put jobs in.
 #[derive(Clone, Debug, PartialEq)]
@@ -114,6 +117,12 @@
         }
     }
 
+    /// Returns whether the store was reached lately: without it nothing can
+    /// be accepted here, and callers are better off elsewhere.
+    pub fn in_touch(&self) -> bool {
+        self.fresh(IN_TOUCH).is_some()
+    }
+
     fn lock(&self) -> MutexGuard<'_, Known> {
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
