--- a/src/graph/book.rs
+++ b/src/graph/book.rs
@@ -274,6 +274,8 @@
     /// The accelerators that each client account is guaranteed.
     pub(super) guarantees: BTreeMap<Text, i64>,
     pub(super) history: History,
+    /// When the last urgent job of each pool was accepted.
+    pub(super) urgent: BTreeMap<Text, Instant>,
     pub(super) dirty: BTreeSet<Id>,
     pub(super) stirred: BTreeSet<AgentId>,
     /// What the last steps decided, for the log.
@@ -294,6 +296,7 @@
             open: BTreeSet::new(),
             guarantees: BTreeMap::new(),
             history: History::default(),
+            urgent: BTreeMap::new(),
             dirty: BTreeSet::new(),
             stirred: BTreeSet::new(),
             notes: Vec::new(),
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -45,6 +45,10 @@
         let age = now.wall.duration_since(job.accepted).unwrap_or_default();
         let accepted = now.now.checked_sub(age).unwrap_or(now.now);
         let id = job.id.clone();
+        if job.priority == 0 {
+            let last = self.urgent.entry(job.pool.clone()).or_insert(accepted);
+            *last = accepted.max(*last);
+        }
         let mut entry = Entry {
             job: Arc::new(job),
             progress: progress.unwrap_or_default(),
--- a/src/graph/place.rs
+++ b/src/graph/place.rs
@@ -21,6 +21,12 @@
 /// The share of what a far run costs more that is waited for a near place.
 const WAIT_FOR_NEAR: f64 = 0.5;
 
+/// The share of a pool's workers that is left empty for urgent work: it
+/// would else wait for stops, longer than short work may.
+const SPARE: f64 = 0.12;
+/// How long after the last urgent job that is so.
+const SPARE_FOR: Duration = Duration::from_secs(30);
+
 /// What a unit needs.
 #[derive(Clone, Debug)]
 pub(super) struct Request {
@@ -193,10 +199,12 @@
             .iter()
             .filter(|(_, worker)| self.usable(worker, request, now))
             .collect();
+        let spare = self.spare(request, &sound, now);
         let untried = |agent: &AgentId| !request.avoid.contains(agent);
         let any_untried = sound.iter().any(|(agent, _)| untried(agent));
         sound
             .into_iter()
+            .filter(|(agent, _)| !spare.contains(*agent))
             .filter(|(agent, _)| !any_untried || untried(agent))
             .map(|(agent, worker)| Candidate {
                 place: Place {
@@ -214,6 +222,40 @@
             .collect()
     }
 
+    /// Returns the empty workers that a unit leaves to urgent ones, in as
+    /// few racks as may be.
+    fn spare(
+        &self,
+        request: &Request,
+        sound: &[(&AgentId, &Worker)],
+        now: Moment,
+    ) -> BTreeSet<AgentId> {
+        let most = (sound.len() as f64 * SPARE) as usize;
+        let urgent = self
+            .urgent
+            .get(&request.pool)
+            .is_some_and(|last| now.now < *last + SPARE_FOR);
+        if request.priority == 0 || request.past_kept || !urgent {
+            return BTreeSet::new();
+        }
+        let slots = |worker: &Worker| worker.capacity.times(&request.charge);
+        let all: u64 = sound.iter().map(|(_, w)| u64::from(slots(w))).sum();
+        let largest = sound.iter().map(|(_, w)| slots(w)).max().unwrap_or(0);
+        let without = all.saturating_sub(most as u64 * u64::from(largest));
+        if without < u64::from(request.width) {
+            return BTreeSet::new();
+        }
+        let mut racks: BTreeMap<&Text, Vec<&AgentId>> = BTreeMap::new();
+        for (agent, worker) in sound {
+            if worker.used == Resources::default() {
+                racks.entry(&worker.rack).or_default().push(agent);
+            }
+        }
+        let mut racks: Vec<Vec<&AgentId>> = racks.into_values().collect();
+        racks.sort_by_key(|agents| std::cmp::Reverse(agents.len()));
+        racks.into_iter().flatten().take(most).cloned().collect()
+    }
+
     fn usable(&self, worker: &Worker, request: &Request, now: Moment) -> bool {
         let label = request.label.as_ref();
         worker.pool == request.pool
