--- a/src/graph/place.rs
+++ b/src/graph/place.rs
@@ -21,9 +21,12 @@
 /// The share of what a far run costs more that is waited for a near place.
 const WAIT_FOR_NEAR: f64 = 0.5;
 
-/// The share of a pool's workers that is left empty for urgent work: it
-/// would else wait for stops, longer than short work may.
+/// The share of a pool's workers that work of priority 1 leaves empty for
+/// urgent work, which would else wait for stops, longer than short work may;
+/// work of priority 2 leaves twice that, and so on.
 const SPARE: f64 = 0.12;
+/// The most that is left.
+const MOST_SPARE: f64 = 0.3;
 /// How long after the last urgent job that is so.
 const SPARE_FOR: Duration = Duration::from_secs(30);
 
@@ -230,7 +233,8 @@
         sound: &[(&AgentId, &Worker)],
         now: Moment,
     ) -> BTreeSet<AgentId> {
-        let most = (sound.len() as f64 * SPARE) as usize;
+        let share = (SPARE * f64::from(request.priority)).min(MOST_SPARE);
+        let most = (sound.len() as f64 * share) as usize;
         let urgent = self
             .urgent
             .get(&request.pool)
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -72,9 +72,14 @@
 
 /// A store in memory.
 #[derive(Clone, Default)]
-struct Memory(Arc<Mutex<Data>>);
+pub struct Memory(Arc<Mutex<Data>>);
 
 impl Memory {
+    /// Turns so many calls away.
+    pub fn refuse(&self, calls: u32) {
+        self.lock().refuse = calls;
+    }
+
     fn lock(&self) -> MutexGuard<'_, Data> {
         let mut data = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let now = Instant::now();
--- /dev/null
+++ b/tests/it/spare.rs
@@ -0,0 +1,70 @@
+//! Workers that are left empty for urgent work.
+
+use std::time::Duration;
+
+use crate::graph::job;
+use crate::graph::step;
+use crate::graph::Site;
+
+const NINE: &[(&str, &str)] = &[
+    ("w1", "r1"),
+    ("w2", "r1"),
+    ("w3", "r1"),
+    ("w4", "r2"),
+    ("w5", "r2"),
+    ("w6", "r2"),
+    ("w7", "r3"),
+    ("w8", "r3"),
+    ("w9", "r3"),
+];
+
+/// Returns a site that has seen an urgent job.
+fn site() -> Site {
+    let mut site = Site::new(NINE);
+    site.submit(job("seen", 0, vec![step(1, 1, false)], &site));
+    site.settle();
+    site.end_all("seen");
+    site.settle();
+    site
+}
+
+#[test]
+fn an_urgent_unit_begins_at_once_though_more_waits_than_there_is_room() {
+    let mut site = site();
+    site.submit(job("low", 1, vec![step(30, 8, false)], &site));
+    site.settle();
+    assert_eq!(site.running("low"), 8);
+    site.submit(job("urgent", 0, vec![step(1, 8, false)], &site));
+    site.book.step(site.now);
+    site.write();
+    let starts = |site: &mut Site| {
+        let agents: Vec<_> =
+            site.workers.iter().map(|w| w.agent.clone()).collect();
+        let orders = agents.iter().map(|agent| site.book.orders(agent));
+        orders.flat_map(|orders| orders.starts).count()
+    };
+    assert_eq!(starts(&mut site), 1, "without a stop before it");
+}
+
+#[test]
+fn nothing_is_left_empty_where_no_urgent_work_comes() {
+    let mut site = Site::new(NINE);
+    site.submit(job("low", 1, vec![step(30, 8, false)], &site));
+    site.settle();
+    assert_eq!(site.running("low"), 9);
+    let mut site = self::site();
+    site.pass(Duration::from_secs(31));
+    site.submit(job("low", 1, vec![step(30, 8, false)], &site));
+    site.settle();
+    assert_eq!(site.running("low"), 9);
+}
+
+#[test]
+fn a_gang_that_needs_every_worker_gets_them() {
+    let mut site = site();
+    let mut gang = step(9, 8, true);
+    gang.same_rack = false;
+    site.submit(job("wide", 1, vec![gang], &site));
+    site.settle();
+    assert_eq!(site.running("wide"), 9);
+}
