Ask for leave, pace what fills, and keep what may not be missed

Change: graph::advice asks about up to 30 workers a question, those with room first, keeps tickets for as long as they hold, and never asks again about a worker that may not; graph::pace stops a worker's fillers when a serving task there is over its target and lets them come back by 20% a second; preempt leaves a step what it may not miss.

--- a/src/cell/member/act.rs
+++ b/src/cell/member/act.rs
@@ -12,6 +12,7 @@
 use crate::cell::worker::Error;
 use crate::cell::worker::Worker;
 use crate::cell::worker::WorkerTime;
+use crate::graph::Pace;
 use crate::graph::Refusal;
 use crate::graph::Start;
 use crate::graph::Stop;
@@ -40,6 +41,32 @@
         tokio::spawn(async move { member.carry_out(&key).await });
     }
 
+    /// Sets the pace of a run; if that fails, it is ordered again.
+    pub(super) fn set_pace(&self, pace: Pace) {
+        let call = {
+            let state = self.lock();
+            state.worker.as_ref().map(|known| Call {
+                life: known.beat.life.clone(),
+                token: state.token,
+            })
+        };
+        let Some(call) = call else {
+            return;
+        };
+        let member = self.clone();
+        tokio::spawn(async move {
+            let answer = member.0.worker.pace(&call, &pace);
+            let answer = tokio::time::timeout(ANSWER, answer).await;
+            slog::info!(member.0.config.log, "agent: a pace was ordered";
+                "task" => %pace.task, "run" => pace.run,
+                "percent" => pace.percent, "life" => &*call.life,
+                "token" => call.token, "outcome" => ?answer);
+            if let Ok(Err(Error::Fenced)) = answer {
+                member.fenced(call.token);
+            }
+        });
+    }
+
     async fn carry_out(&self, key: &Key) {
         loop {
             let done = match self.next(key) {
--- a/src/cell/member/link.rs
+++ b/src/cell/member/link.rs
@@ -145,6 +145,7 @@
         granted: Option<Instant>,
         orders: crate::graph::Orders,
     ) {
+        let paces = orders.paces.clone();
         let due = {
             let mut state = self.lock();
             let noted = |state: &super::state::State| {
@@ -160,6 +161,9 @@
         for key in due {
             self.act(key);
         }
+        for pace in paces {
+            self.set_pace(pace);
+        }
     }
 }
 
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -11,6 +11,7 @@
 //! Everything that must last is in the store, under [`keys`].
 
 mod admission;
+pub mod advice;
 pub mod claim;
 pub mod configuration;
 pub mod keys;
--- a/src/cell/planner.rs
+++ b/src/cell/planner.rs
@@ -13,6 +13,8 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::cell::advice;
+use crate::cell::advice::Desk;
 use crate::cell::claim::Claim;
 use crate::cell::configuration::Source;
 use crate::cell::keys;
@@ -27,9 +29,11 @@
 use crate::graph::Job;
 use crate::graph::Moment;
 use crate::graph::Progress;
+use crate::graph::Question;
 use crate::graph::Report;
 use crate::graph::Terms;
 use crate::graph::Text;
+use crate::graph::Ticket;
 use crate::store::Change;
 use crate::store::Item;
 use crate::store::Listing;
@@ -57,6 +61,8 @@
     Written(Result<Written, writer::Lost>),
     /// Records were removed, or not.
     Removed(Vec<Id>),
+    /// A question was answered, or not, that was put at that time.
+    Advised(Question, Option<Vec<Ticket>>, Instant),
     /// Something was taken in: decide.
     Decide,
     /// Time has passed.
@@ -79,6 +85,8 @@
     pub claim: Claim,
     /// The configuration, for the guarantees.
     pub source: Source,
+    /// Where to ask who may run a step, if anybody says.
+    pub advice: Option<Desk>,
     /// The times that decisions rest on.
     pub terms: Terms,
     /// What entries have told so far.
@@ -96,6 +104,8 @@
     store: S,
     claim: Claim,
     source: Source,
+    advice: Option<Desk>,
+    asking: bool,
     book: Book,
     known: Known,
     /// Progress of jobs whose acceptance was not listed yet.
@@ -146,6 +156,10 @@
             Message::Listing(listing) => state.listing(listing),
             Message::Written(written) => state.written(written),
             Message::Removed(ids) => state.removed(&ids),
+            Message::Advised(question, good, sent) => {
+                state.asking = false;
+                state.book.advised(&question, good, sent.into_std());
+            }
             Message::Tick => state.tick(&myself),
             Message::Decide => {
                 state.decide(&myself);
@@ -167,6 +181,8 @@
             store: start.store,
             claim: start.claim,
             source: start.source,
+            advice: start.advice,
+            asking: false,
             book: Book::new(start.terms, Moment::present()),
             known: Known::default(),
             kept: HashMap::new(),
@@ -313,6 +329,7 @@
             slog::info!(self.log, "planner: {}", note;
                 "token" => self.claim.token);
         }
+        self.ask(myself);
         self.write(myself);
         self.due.extend(self.book.take_stirred());
         let due: Vec<AgentId> = self
@@ -342,6 +359,24 @@
         send(&self.log, held.reply, answer);
     }
 
+    /// Asks who may run a step, one question at a time.
+    fn ask(&mut self, myself: &ActorRef<Message>) {
+        let Some(desk) = self.advice.clone().filter(|_| !self.asking) else {
+            return;
+        };
+        let Some(question) = self.book.question(Moment::present()) else {
+            return;
+        };
+        self.asking = true;
+        let myself = myself.clone();
+        tokio::spawn(async move {
+            let sent = Instant::now();
+            let good = advice::ask(&desk, question.clone()).await;
+            // A planner that has stopped needs no answer.
+            let _ = myself.cast(Message::Advised(question, good, sent));
+        });
+    }
+
     fn write(&mut self, myself: &ActorRef<Message>) {
         if self.writing {
             return;
--- a/src/cell/session.rs
+++ b/src/cell/session.rs
@@ -9,6 +9,7 @@
 use ractor::ActorRef;
 use tokio::sync::watch;
 
+use crate::cell::advice::Desk;
 use crate::cell::claim;
 use crate::cell::claim::Claim;
 use crate::cell::claim::Holder;
@@ -107,6 +108,8 @@
     pub host: Host,
     /// The configuration.
     pub source: Source,
+    /// Where to ask who may run a step, if anybody says.
+    pub advice: Option<Desk>,
     /// The times that decisions rest on.
     pub terms: Terms,
     /// Where logs go.
@@ -174,6 +177,7 @@
             store: self.store.clone(),
             claim: claim.clone(),
             source: self.source.clone(),
+            advice: self.advice.clone(),
             terms: self.terms,
             intake,
             progress,
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -5,6 +5,7 @@
 
 use crate::graph::Life;
 use crate::graph::Lists;
+use crate::graph::Pace;
 use crate::graph::Refusal;
 use crate::graph::Start;
 use crate::graph::Stop;
@@ -70,6 +71,13 @@
         stop: &Stop,
     ) -> impl Future<Output = Result<WorkerTime, Error>> + Send;
 
+    /// Sets the pace of a run; returns the worker's time.
+    fn pace(
+        &self,
+        call: &Call,
+        pace: &Pace,
+    ) -> impl Future<Output = Result<WorkerTime, Error>> + Send;
+
     /// Acknowledges ends up to `noted`, prolongs the lease of all that runs
     /// if a time is given, and lists what runs and what has ended, after up
     /// to `wait` if nothing ends before.
--- /dev/null
+++ b/src/graph/advice.rs
@@ -0,0 +1,186 @@
+//! Queues whose steps run only where a service gives leave.
+//!
+//! The service answers which of the workers named may run a step, each with
+//! a ticket that every start there brings. Its answers take time by the
+//! worker named, so few are asked about at once: those with room first.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::graph::book::Entry;
+use crate::graph::book::Phase;
+use crate::graph::place::Request;
+use crate::graph::Book;
+use crate::graph::Id;
+use crate::graph::Life;
+use crate::graph::Moment;
+
+/// The most workers that one question names; the users reckon with as many
+/// a step.
+const NAMED: usize = 30;
+/// The least rest of a ticket with which a run is given out: it must be
+/// written and ordered by then.
+const REST: Duration = Duration::from_millis(400);
+/// How long is waited before a question without answer is put again.
+const AGAIN: Duration = Duration::from_millis(500);
+
+/// One time of a step of a job.
+pub type StepKey = (Id, u32, usize);
+
+/// A leave to run a step on a life of a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ticket {
+    /// The life.
+    pub life: Life,
+    /// What a start there brings.
+    pub text: String,
+}
+
+/// What is to be asked of the service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Question {
+    /// The step.
+    pub step: StepKey,
+    /// The lives of the workers that it could use.
+    pub lives: Vec<Life>,
+}
+
+/// What is known of a step's leave.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Leave {
+    /// The tickets, and until when each holds.
+    tickets: BTreeMap<Life, (String, Instant)>,
+    /// Who may never run the step.
+    barred: BTreeSet<Life>,
+    /// Before when nothing more is asked.
+    not_before: Option<Instant>,
+}
+
+impl Leave {
+    /// Returns whether a run on a life may be given out.
+    pub fn allows(&self, life: &Life, now: Instant) -> bool {
+        let ticket = self.tickets.get(life);
+        ticket.is_some_and(|(_, until)| now + REST < *until)
+    }
+
+    /// Returns the ticket for a life, however old.
+    pub fn ticket(&self, life: &Life) -> Option<String> {
+        self.tickets.get(life).map(|(text, _)| text.clone())
+    }
+}
+
+impl Book {
+    /// Returns whether a unit may run on a life, as far as leave goes.
+    pub(super) fn has_leave(
+        &self,
+        request: &Request,
+        life: &Life,
+        now: Instant,
+    ) -> bool {
+        let entry = self.jobs.get(&request.id);
+        if entry.is_none_or(|entry| entry.job.advice.is_none()) {
+            return true;
+        }
+        let leave = self.leave.get(&request.step_key());
+        leave.is_some_and(|leave| leave.allows(life, now))
+    }
+
+    /// Returns what is to be asked next, if anything is.
+    pub fn question(&mut self, now: Moment) -> Option<Question> {
+        let question = self.next_question(now)?;
+        let leave = self.leave.entry(question.step.clone()).or_default();
+        leave.not_before = Some(now.now + AGAIN);
+        Some(question)
+    }
+
+    fn next_question(&self, now: Moment) -> Option<Question> {
+        self.live()
+            .filter(|entry| entry.job.advice.is_some() && !entry.over())
+            .find_map(|entry| self.question_of(entry, now))
+    }
+
+    fn question_of(&self, entry: &Entry, now: Moment) -> Option<Question> {
+        let waits = entry
+            .units
+            .iter()
+            .filter(|(_, unit)| matches!(unit.phase, Phase::Waiting));
+        let mut asked = BTreeSet::new();
+        for (key, unit) in waits {
+            if !asked.insert((key.time, key.step)) {
+                continue;
+            }
+            let step = &entry.job.steps[key.step];
+            let expected = self.history.expect(&entry.job.queue, step);
+            let request = Request::new(entry, key, unit, expected);
+            let step = request.step_key();
+            let leave = self.leave.get(&step).cloned().unwrap_or_default();
+            if leave.not_before.is_some_and(|before| now.now < before) {
+                continue;
+            }
+            let lives = self.unasked(&request, &leave, now);
+            if !lives.is_empty() {
+                return Some(Question { step, lives });
+            }
+        }
+        None
+    }
+
+    /// Returns the lives that a unit could use and has no leave for, those
+    /// with room first.
+    fn unasked(
+        &self,
+        request: &Request,
+        leave: &Leave,
+        now: Moment,
+    ) -> Vec<Life> {
+        let mut open: Vec<(bool, &Life)> = self
+            .workers
+            .values()
+            .filter(|worker| self.usable(worker, request, now))
+            .filter(|worker| !leave.barred.contains(&worker.life))
+            .filter(|worker| !leave.allows(&worker.life, now.now))
+            .map(|worker| {
+                let full = !worker.free().holds(&request.charge);
+                (full, &worker.life)
+            })
+            .collect();
+        open.sort();
+        let lives = open.into_iter().map(|(_, life)| life.clone());
+        lives.take(NAMED).collect()
+    }
+
+    /// Takes in what the service answered to a question that was sent at
+    /// `sent`; `None` if it did not answer.
+    pub fn advised(
+        &mut self,
+        question: &Question,
+        good: Option<Vec<Ticket>>,
+        sent: Instant,
+    ) {
+        let job = self.jobs.get(&question.step.0).map(|e| &e.job);
+        let Some(advice) = job.and_then(|job| job.advice) else {
+            return;
+        };
+        let Some(good) = good else {
+            return;
+        };
+        let leave = self.leave.entry(question.step.clone()).or_default();
+        leave.not_before = None;
+        // Who may run a step does not change.
+        leave.barred.extend(question.lives.iter().cloned());
+        let until = sent + advice.valid;
+        for ticket in good {
+            leave.barred.remove(&ticket.life);
+            leave.tickets.insert(ticket.life, (ticket.text, until));
+        }
+    }
+
+    /// Forgets a ticket that a worker no longer takes.
+    pub(super) fn drop_ticket(&mut self, step: &StepKey, life: &Life) {
+        if let Some(leave) = self.leave.get_mut(step) {
+            leave.tickets.remove(life);
+        }
+    }
+}
--- a/src/graph/book.rs
+++ b/src/graph/book.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::graph::advice::Leave;
 use crate::graph::health::Health;
 use crate::graph::history::History;
+use crate::graph::pace::Filling;
 use crate::graph::AgentId;
 use crate::graph::Id;
 use crate::graph::Job;
@@ -19,6 +21,7 @@
 use crate::graph::Progress;
 use crate::graph::Resources;
 use crate::graph::Run;
+use crate::graph::StepKey;
 use crate::graph::Task;
 use crate::graph::Text;
 use crate::graph::UnitKey;
@@ -91,6 +94,10 @@
     /// Runs that nobody here has ordered, to be stopped.
     pub strays: BTreeSet<(Task, Run)>,
     pub health: Health,
+    /// The pace of what fills there.
+    pub filling: Filling,
+    /// Runs that were listed with another pace.
+    pub paced: Vec<(Task, Run)>,
     /// Whether its life is over, as far as its agent knows.
     pub gone: bool,
 }
@@ -276,6 +283,8 @@
     pub(super) history: History,
     /// When the last urgent job of each pool was accepted.
     pub(super) urgent: BTreeMap<Text, Instant>,
+    /// Who may run the steps whose starts need leave.
+    pub(super) leave: BTreeMap<StepKey, Leave>,
     pub(super) dirty: BTreeSet<Id>,
     pub(super) stirred: BTreeSet<AgentId>,
     /// What the last steps decided, for the log.
@@ -297,6 +306,7 @@
             guarantees: BTreeMap::new(),
             history: History::default(),
             urgent: BTreeMap::new(),
+            leave: BTreeMap::new(),
             dirty: BTreeSet::new(),
             stirred: BTreeSet::new(),
             notes: Vec::new(),
@@ -402,6 +412,7 @@
         self.jobs.remove(id);
         self.open.remove(id);
         self.dirty.remove(id);
+        self.leave.retain(|(job, ..), _| &**job != id);
     }
 
     fn settled(&self, id: &str) -> bool {
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -13,6 +13,7 @@
 use crate::graph::book::Why;
 use crate::graph::book::Worker;
 use crate::graph::health::Health;
+use crate::graph::pace::Filling;
 use crate::graph::settle::End;
 use crate::graph::AgentId;
 use crate::graph::Book;
@@ -133,6 +134,8 @@
                 strays.insert((running.task.clone(), running.run));
             }
         }
+        self.set_pace(&agent, &said.lists.running, now.now);
+        self.keep_paced(&agent, &said.lists.running);
         if let Some(worker) = self.workers.get_mut(&agent) {
             if worker.strays != strays {
                 worker.strays = strays;
@@ -348,6 +351,8 @@
         unnoted: Default::default(),
         strays: Default::default(),
         health: Health::default(),
+        filling: Filling::new(now),
+        paced: Vec::new(),
         gone: false,
     }
 }
--- a/src/graph/mod.rs
+++ b/src/graph/mod.rs
@@ -13,6 +13,7 @@
 //! so a planner that takes over neither gives a run number out twice nor
 //! misses an end.
 
+mod advice;
 mod book;
 mod health;
 mod history;
@@ -20,6 +21,7 @@
 mod job;
 mod loss;
 mod orders;
+mod pace;
 mod place;
 mod preempt;
 mod progress;
@@ -28,6 +30,9 @@
 mod schedule;
 mod settle;
 
+pub use advice::Question;
+pub use advice::StepKey;
+pub use advice::Ticket;
 pub use book::Book;
 pub use book::Terms;
 pub use book::Unwritten;
@@ -43,6 +48,7 @@
 pub use orders::Orders;
 pub use orders::Start;
 pub use orders::Stop;
+pub use pace::Pace;
 pub use progress::Outcome;
 pub use progress::Place;
 pub use progress::Progress;
--- a/src/graph/orders.rs
+++ b/src/graph/orders.rs
@@ -1,8 +1,11 @@
 //! What an agent is to do.
 
+use std::collections::BTreeMap;
+
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::graph::advice::Leave;
 use crate::graph::book::Entry;
 use crate::graph::book::Member;
 use crate::graph::book::Phase;
@@ -11,7 +14,9 @@
 use crate::graph::AgentId;
 use crate::graph::Book;
 use crate::graph::Life;
+use crate::graph::Pace;
 use crate::graph::Run;
+use crate::graph::StepKey;
 use crate::graph::Task;
 use crate::graph::Text;
 use crate::graph::UnitKey;
@@ -54,11 +59,15 @@
     pub starts: Vec<Start>,
     /// What is to be stopped.
     pub stops: Vec<Stop>,
+    /// What is to work at another pace.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub paces: Vec<Pace>,
 }
 
 impl Book {
     /// Returns what an agent is to do now.
     pub fn orders(&mut self, agent: &AgentId) -> Orders {
+        let paces = self.paces(agent);
         let Some(worker) = self.workers.get_mut(agent) else {
             return Orders::default();
         };
@@ -83,10 +92,11 @@
             noted: worker.noted,
             starts: Vec::new(),
             stops: worker.strays.iter().map(stray).collect(),
+            paces,
         };
         for id in &self.open {
             if let Some(entry) = self.jobs.get_mut(id) {
-                order(entry, agent, &life, &mut orders);
+                order(entry, agent, &life, &self.leave, &mut orders);
             }
         }
         orders
@@ -97,11 +107,19 @@
     entry: &mut Entry,
     agent: &AgentId,
     life: &Life,
+    leave: &BTreeMap<StepKey, Leave>,
     orders: &mut Orders,
 ) {
     let mut units = std::mem::take(&mut entry.units);
     for (key, unit) in &mut units {
+        let first = orders.starts.len();
         order_unit(entry, key, unit, agent, life, orders);
+        let step = (entry.job.id.clone(), key.time, key.step);
+        if let Some(leave) = leave.get(&step) {
+            for start in &mut orders.starts[first..] {
+                start.ticket = leave.ticket(life);
+            }
+        }
     }
     entry.units = units;
 }
--- a/src/graph/place.rs
+++ b/src/graph/place.rs
@@ -15,6 +15,7 @@
 use crate::graph::Moment;
 use crate::graph::Place;
 use crate::graph::Resources;
+use crate::graph::StepKey;
 use crate::graph::Text;
 use crate::graph::UnitKey;
 
@@ -77,6 +78,11 @@
         }
     }
 
+    /// Returns the step that the unit belongs to.
+    pub fn step_key(&self) -> StepKey {
+        (self.id.clone(), self.key.time, self.key.step)
+    }
+
     /// Returns whether a rack is one where the unit is not slow.
     pub fn near(&self, rack: &Text) -> bool {
         self.data_rack.as_ref().is_none_or(|data| data == rack)
@@ -201,6 +207,9 @@
             .workers
             .iter()
             .filter(|(_, worker)| self.usable(worker, request, now))
+            .filter(|(_, worker)| {
+                self.has_leave(request, &worker.life, now.now)
+            })
             .collect();
         let spare = self.spare(request, &sound, now);
         let untried = |agent: &AgentId| !request.avoid.contains(agent);
@@ -260,7 +269,12 @@
         racks.into_iter().flatten().take(most).cloned().collect()
     }
 
-    fn usable(&self, worker: &Worker, request: &Request, now: Moment) -> bool {
+    pub(super) fn usable(
+        &self,
+        worker: &Worker,
+        request: &Request,
+        now: Moment,
+    ) -> bool {
         let label = request.label.as_ref();
         worker.pool == request.pool
             && !worker.leaving
--- a/src/graph/preempt.rs
+++ b/src/graph/preempt.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use crate::graph::book::Entry;
+use crate::graph::book::Member;
 use crate::graph::book::Phase;
+use crate::graph::book::State;
 use crate::graph::book::Unit;
 use crate::graph::book::Why;
 use crate::graph::place::Candidate;
@@ -102,14 +104,21 @@
             {
                 continue;
             }
+            let mut spared = spared(entry);
             for (key, unit) in &entry.units {
                 let runs = matches!(
                     unit.phase,
                     Phase::Running(_) | Phase::Reserved(_)
                 );
-                if runs && unit.stop.is_none() {
-                    victims.push(victim(entry, key, unit, now));
+                if !runs || unit.stop.is_some() {
+                    continue;
                 }
+                match spared.get_mut(&(key.time, key.step)) {
+                    Some(0) => continue,
+                    Some(left) => *left -= 1,
+                    None => {}
+                }
+                victims.push(victim(entry, key, unit, now));
             }
         }
         victims
@@ -123,6 +132,31 @@
     job.steps.iter().map(step).max().unwrap_or(0)
 }
 
+/// Returns how many more units of a step may be stopped, for the steps of
+/// which only so many may be away.
+fn spared(entry: &Entry) -> BTreeMap<(u32, usize), u32> {
+    let mut spared = BTreeMap::new();
+    for (key, unit) in &entry.units {
+        let Some(most) = entry.job.steps[key.step].may_miss else {
+            continue;
+        };
+        let left = spared.entry((key.time, key.step)).or_insert(most);
+        if !at_work(unit) {
+            *left = left.saturating_sub(1);
+        }
+    }
+    spared
+}
+
+/// Returns whether all of a unit's members run, and nothing stops them.
+fn at_work(unit: &Unit) -> bool {
+    let Phase::Running(members) = &unit.phase else {
+        return false;
+    };
+    let present = |member: &Member| member.state == State::Present;
+    unit.stop.is_none() && members.iter().all(present)
+}
+
 fn victim(entry: &Entry, key: &UnitKey, unit: &Unit, now: Moment) -> Victim {
     let step = &entry.job.steps[key.step];
     let charge = step.charge();
--- a/src/graph/settle.rs
+++ b/src/graph/settle.rs
@@ -93,6 +93,9 @@
             place.agent, place.life
         ));
         self.vacate(&place, &charge);
+        if end == End::Never(Refusal::Ticket) {
+            self.drop_ticket(&(job.clone(), key.time, key.step), &place.life);
+        }
         self.judge(&place, &job, end, stopped, now);
         self.settle_unit(id, key, now);
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -236,6 +236,18 @@
         self.value(section, key, |text| text.parse().ok())
     }
 
+    /// Returns an address, or `Some(None)` where the value is empty.
+    pub fn address_if_any(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+    ) -> Option<Option<SocketAddr>> {
+        match self.values.get(&(section, key)) {
+            Some((text, _)) if text.is_empty() => Some(None),
+            _ => self.address(section, key).map(Some),
+        }
+    }
+
     /// Returns a number from `least` to `most`.
     pub fn number<T: FromStr + PartialOrd>(
         &mut self,
@@ -277,10 +289,7 @@
             Some((text, _)) if text.is_empty() => Some(None),
             _ => self.url("telemetry", "otlp").map(Some),
         };
-        let page = match self.values.get(&("telemetry", "page")) {
-            Some((text, _)) if text.is_empty() => Some(None),
-            _ => self.address("telemetry", "page").map(Some),
-        };
+        let page = self.address_if_any("telemetry", "page");
         Some(Common {
             format: format?,
             level: level?,
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -32,6 +32,7 @@
 use landingvalve::graph::Job;
 use landingvalve::graph::Lists;
 use landingvalve::graph::Outcome;
+use landingvalve::graph::Pace;
 use landingvalve::graph::Refusal;
 use landingvalve::graph::Resources;
 use landingvalve::graph::Running;
@@ -366,6 +367,20 @@
         Ok(self.time())
     }
 
+    async fn pace(
+        &self,
+        call: &Call,
+        pace: &Pace,
+    ) -> Result<WorkerTime, worker::Error> {
+        let mut tasks = self.fenced(call)?;
+        for running in &mut tasks.running {
+            if running.task == pace.task && running.run == pace.run {
+                running.pace = f64::from(pace.percent);
+            }
+        }
+        Ok(self.time())
+    }
+
     async fn look(
         &self,
         call: &Call,
@@ -419,6 +434,7 @@
             },
             host,
             source: Source::new(),
+            advice: None,
             terms: Terms::default(),
             log: log::none(),
         };
--- a/tests/it/graph.rs
+++ b/tests/it/graph.rs
@@ -51,7 +51,7 @@
         }
     }
 
-    fn report(&mut self) -> Report {
+    pub fn report(&mut self) -> Report {
         self.sequence += 1;
         Report {
             agent: self.agent.clone(),
@@ -123,6 +123,13 @@
             let this = |r: &Running| r.task == stop.task && r.run == stop.run;
             self.end(How::Stopped, this);
         }
+        for pace in &orders.paces {
+            let this =
+                |r: &&mut Running| r.task == pace.task && r.run == pace.run;
+            for running in self.running.iter_mut().filter(this) {
+                running.pace = f64::from(pace.percent);
+            }
+        }
         self.noted = self.noted.max(orders.noted);
         let noted = self.noted;
         self.ended.retain(|ended| ended.number > noted);
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -1,11 +1,13 @@
 //! Tests of the decision core, the replay and the processes.
 
+mod advice;
 mod cell;
 mod examples;
 mod gang_steps;
 mod graph;
 mod in_touch;
 mod near;
+mod pace;
 mod pages;
 mod plan_health;
 mod plan_mask;
--- a/tests/it/spare.rs
+++ b/tests/it/spare.rs
@@ -68,3 +68,17 @@
     site.settle();
     assert_eq!(site.running("wide"), 9);
 }
+
+#[test]
+fn work_is_stopped_for_a_guarantee_however_late() {
+    let mut site = Site::new(&[("w1", "r1")]);
+    let guarantees = [("account".into(), 8)];
+    site.book.set_guarantees(guarantees.into());
+    site.submit(job("low", 1, vec![step(8, 1, false)], &site));
+    site.settle();
+    let mut urgent = job("urgent", 0, vec![step(1, 8, false)], &site);
+    urgent.accepted = site.now.wall - Duration::from_secs(60);
+    site.submit(urgent);
+    site.settle();
+    assert_eq!((site.running("low"), site.running("urgent")), (0, 1));
+}
