Wait a moment for the end of a job that is asked about

Cause: clients ask for a job's state just as its last task ends. Change: the answer about a job that runs waits up to 120 ms for its end, by one call for changes.

--- a/src/cell/admission.rs
+++ b/src/cell/admission.rs
@@ -15,8 +15,10 @@
 use crate::graph::Job;
 use crate::graph::Outcome;
 use crate::graph::Progress;
+use crate::store::Change;
 use crate::store::Compare;
 use crate::store::Error;
+use crate::store::Item;
 use crate::store::Put;
 use crate::store::Store;
 use crate::store::Swap;
@@ -26,6 +28,13 @@
 const PATIENCE: Duration = Duration::from_millis(600);
 /// How long is waited before the store is asked again.
 const AGAIN: Duration = Duration::from_millis(60);
+/// How long the end of a job that runs is waited for: what it takes from its
+/// worker through the planner into the store, with some to spare.
+const END: Duration = Duration::from_millis(120);
+/// How much longer than it waits such a call may take.
+const END_SLACK: Duration = Duration::from_millis(100);
+/// The least wait that is worth a call.
+const LEAST_WAIT: Duration = Duration::from_millis(10);
 /// How long an unanswered write is remembered: longer than a late write
 /// can take.
 const REMEMBERED: Duration = Duration::from_secs(60);
@@ -167,7 +176,8 @@
         Ok(true)
     }
 
-    /// Returns how far a job has come, if it is known.
+    /// Returns how far a job has come, if it is known. Of one that runs it
+    /// is waited a moment for news: callers often ask just as it ends.
     ///
     /// # Errors
     ///
@@ -178,25 +188,58 @@
         deadline: Instant,
     ) -> Result<Option<Stage>, Unavailable> {
         let progress = self.read(&keys::progress(id), deadline).await?;
-        let progress = progress
-            .map(|value| serde_json::from_slice::<Progress>(&value))
-            .transpose()
-            .map_err(|error| Unavailable(error.to_string()))?;
-        let outcome = progress.as_ref().and_then(|p| p.outcome);
-        if let Some(outcome) = outcome {
+        let ended = progress.as_ref().map(outcome).transpose()?.flatten();
+        if let Some(outcome) = ended {
             return Ok(Some(Stage::Ended(outcome)));
         }
         let cancel = keys::cancel(id);
         if self.read(&cancel, deadline).await?.is_some() {
             return Ok(Some(Stage::Ended(Outcome::Cancelled)));
         }
-        if progress.is_some() {
-            return Ok(Some(Stage::Running));
+        if let Some(progress) = progress {
+            let ended = self.end(&progress, deadline).await;
+            return Ok(Some(ended.map_or(Stage::Running, Stage::Ended)));
         }
         let job = self.read(&keys::job(id), deadline).await?;
         Ok(job.map(|_| Stage::Queued))
     }
 
+    /// Waits a moment for a job's end.
+    async fn end(
+        &self,
+        progress: &Item,
+        deadline: Instant,
+    ) -> Option<Outcome> {
+        let until = (Instant::now() + END).min(deadline);
+        let mut after = progress.modified;
+        loop {
+            let now = Instant::now();
+            let wait = until.saturating_duration_since(now);
+            if wait < LEAST_WAIT {
+                return None;
+            }
+            let changes = self.store.changes(&progress.key, after, wait);
+            // No answer is no news: the caller is told what is known.
+            let limit = (until + END_SLACK).min(deadline);
+            let changes = tokio::time::timeout_at(limit, changes).await;
+            let changes = changes.ok()?.ok()?;
+            after = after.max(changes.revision);
+            let last = changes.changes.into_iter().next_back();
+            let Some(Change::Put(item)) = last else {
+                return None;
+            };
+            match outcome(&item) {
+                Ok(None) => {}
+                Ok(ended) => return ended,
+                Err(error) => {
+                    slog::error!(self.log, "entry: progress cannot be read";
+                        "key" => &item.key, "error" => %error);
+                    return None;
+                }
+            }
+        }
+    }
+
     /// Returns how many jobs of a queue have not begun.
     ///
     /// # Errors
@@ -222,11 +265,11 @@
         &self,
         key: &str,
         deadline: Instant,
-    ) -> Result<Option<Vec<u8>>, Unavailable> {
+    ) -> Result<Option<Item>, Unavailable> {
         loop {
             let get = self.store.get(key);
             match tokio::time::timeout_at(deadline, get).await {
-                Ok(Ok(item)) => return Ok(item.map(|item| item.value)),
+                Ok(Ok(item)) => return Ok(item),
                 Ok(Err(error)) => again(error, deadline).await?,
                 Err(_) => return Err(Unavailable("in time".to_owned())),
             }
@@ -248,6 +291,13 @@
     }
 }
 
+/// Returns how the job of a kept progress has ended, if it has.
+fn outcome(progress: &Item) -> Result<Option<Outcome>, Unavailable> {
+    serde_json::from_slice::<Progress>(&progress.value)
+        .map(|progress| progress.outcome)
+        .map_err(|error| Unavailable(error.to_string()))
+}
+
 /// Waits before a call is made again, if there is time for it.
 async fn again(error: Error, deadline: Instant) -> Result<(), Unavailable> {
     if Instant::now() + AGAIN * 2 >= deadline {
