Soak the real programs on loopback under faults

Change: crates/landingvalve-soak starts entries and agents as processes of their own against stand-ins that speak the users' protocol (store with outages, silence, slow, lost and late answers, lost history; workers that crash, fail, are cut off or carry orders out late), kills, pauses and stops them by a seed, and checks TWICE, ORDER, UNASKED, REFUSED, MIXED and LOST from what workers and callers see. Missing: gangs, several queues, keys, cuts between processes.

--- /dev/null
+++ b/crates/landingvalve-soak/src/main.rs
@@ -0,0 +1,70 @@
+//! The command line of the soak.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::Parser;
+use landingvalve_soak::soak;
+use landingvalve_soak::soak::Plan;
+
+/// Runs the real programs on loopback under faults, and checks the promises.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Args {
+    /// The folder with the programs.
+    #[arg(long, default_value = "target/release")]
+    programs: PathBuf,
+    /// What faults and jobs are drawn by; drawn itself if left out.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// How many seeds are played, one after the other.
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// For how many seconds a seed has faults.
+    #[arg(long, default_value_t = 20)]
+    seconds: u64,
+    /// How many entries run.
+    #[arg(long, default_value_t = 3)]
+    entries: usize,
+    /// How many workers run, each with an agent.
+    #[arg(long, default_value_t = 4)]
+    workers: usize,
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let args = Args::parse();
+    let first = args.seed.unwrap_or_else(|| fastrand::u64(..1_000_000_000));
+    let mut broken = 0;
+    for seed in first..first + args.seeds {
+        let folder =
+            format!("landingvalve-soak-{}-{seed}", std::process::id());
+        let folder = std::env::temp_dir().join(folder);
+        let soaked = soak::run(Plan {
+            entry: args.programs.join("landingvalve-platform-entry"),
+            agent: args.programs.join("landingvalve-platform-agent"),
+            folder: folder.clone(),
+            seed,
+            faults_for: Duration::from_secs(args.seconds),
+            entries: args.entries,
+            workers: args.workers,
+        });
+        // Given up, a soak ends the processes that it started.
+        let report = tokio::select! {
+            report = soaked => report?,
+            _ = tokio::signal::ctrl_c() => return Ok(()),
+        };
+        println!("{}", serde_json::to_string(&report)?);
+        match report.broken.is_empty() {
+            true => std::fs::remove_dir_all(&folder)?,
+            false => {
+                broken += 1;
+                println!("logs: {}", folder.display());
+            }
+        }
+    }
+    match broken {
+        0 => Ok(()),
+        _ => Err(eyre::eyre!("{broken} seeds broke a promise")),
+    }
+}
