Start no member of a gang that is done without it

When the agent came back it was still ordered to start its member: UNASKED. Change: members of a gang that is done are barred if they have not begun.

--- a/src/graph/orders.rs
+++ b/src/graph/orders.rs
@@ -152,6 +152,13 @@
                     run: kept.run,
                 });
             }
+            // The gang is done without it: it must not begin any more.
+            State::Ordered(_) if kept.done => {
+                orders.stops.push(Stop {
+                    task,
+                    run: kept.run,
+                });
+            }
             State::Ordered(version) if version <= entry.written => {
                 member.handed = true;
                 orders.starts.push(Start {
--- a/src/graph/settle.rs
+++ b/src/graph/settle.rs
@@ -154,6 +154,7 @@
             kept.saved.clear();
             self.touch(id);
             self.succeed_if_done(id, now);
+            self.end_unhanded(id, key, now);
         } else if left && !done {
             // The others of a gang cannot go on alone.
             self.stop_unit(id, key, Why::Broken, now);
--- a/tests/it/graph.rs
+++ b/tests/it/graph.rs
@@ -115,7 +115,7 @@
         }
     }
 
-    fn obey(&mut self, orders: &Orders) {
+    pub fn obey(&mut self, orders: &Orders) {
         for start in &orders.starts {
             self.start(start);
         }
--- a/tests/it/graph_faults.rs
+++ b/tests/it/graph_faults.rs
@@ -43,6 +43,9 @@
 const ROUND: Duration = Duration::from_millis(200);
 /// For how many rounds an order is held up at most.
 const LATE: u32 = 25;
+/// For how many rounds an agent is cut off at most: longer than its worker's
+/// tasks survive that.
+const CUT: u32 = 80;
 /// How long an accepted cancel may take to stop new starts.
 const CANCEL: Duration = Duration::from_secs(3);
 /// How many runs of a task may fail.
@@ -67,9 +70,14 @@
     ended: Vec<Ended>,
     number: u64,
     noted: u64,
+    /// Ends up to this number came before its lease last ran out: the users
+    /// do not count them as noted.
+    lapsed: u64,
     barred: BTreeMap<Task, Run>,
     refused: Vec<Refused>,
     gone: Option<u32>,
+    /// For how many rounds its agent and the planner do not hear each other.
+    cut: u32,
 }
 
 /// An order that is on its way, and for how many rounds it still is.
@@ -143,9 +151,11 @@
             ended: Vec::new(),
             number: 0,
             noted: 0,
+            lapsed: 0,
             barred: BTreeMap::new(),
             refused: Vec::new(),
             gone: None,
+            cut: 0,
         });
         World {
             random: fastrand::Rng::with_seed(seed),
@@ -262,6 +272,7 @@
         worker.refused.clear();
         worker.number = 0;
         worker.noted = 0;
+        worker.lapsed = 0;
     }
 
     /// Lets tasks end, well or badly, with all members of their gangs.
@@ -283,6 +294,7 @@
         for at in 0..self.workers.len() {
             if self.now.now > self.workers[at].granted {
                 self.end_at(at, How::Lapsed, |_| true);
+                self.workers[at].lapsed = self.workers[at].number;
             }
         }
     }
@@ -388,6 +400,10 @@
 
     /// Lets a worker report and obey, unless that is lost on the way.
     fn sync(&mut self, at: usize) {
+        if self.workers[at].cut > 0 {
+            self.workers[at].cut -= 1;
+            return;
+        }
         if self.fault(4) {
             return;
         }
@@ -560,11 +576,13 @@
             return;
         }
         worker.noted = noted;
+        let lapsed = worker.lapsed;
         let (over, left) =
             worker.ended.drain(..).partition(|end| end.number <= noted);
         worker.ended = left;
         let over: Vec<Ended> = over;
-        for end in over {
+        let counts = |end: &Ended| end.number > lapsed;
+        for end in over.into_iter().filter(counts) {
             match end.how {
                 How::Done => {
                     self.done.insert(end.task);
@@ -593,6 +611,10 @@
         if self.fault(20) {
             self.crash();
         }
+        if self.fault(20) {
+            let at = self.random.usize(..self.workers.len());
+            self.workers[at].cut = self.random.u32(5..CUT);
+        }
         self.work();
         for at in 0..self.workers.len() {
             self.sync(at);
