Give what is left empty a module, and count slots one way

A gang of one task a worker was thought to fit beside the workers that are left empty, since slots were counted without its limit a worker: it waited until most was idle. Slots are now counted in one place (Request::slots). Test: spare::a_gang_of_one_task_a_worker_gets_every_worker, fails without.

--- a/src/graph/mod.rs
+++ b/src/graph/mod.rs
@@ -29,6 +29,7 @@
 mod reserve;
 mod schedule;
 mod settle;
+mod spare;
 
 pub use advice::Question;
 pub use advice::StepKey;
--- a/src/graph/place.rs
+++ b/src/graph/place.rs
@@ -22,15 +22,6 @@
 /// The share of what a far run costs more that is waited for a near place.
 const WAIT_FOR_NEAR: f64 = 0.5;
 
-/// The share of a pool's workers that work of priority 1 leaves empty for
-/// urgent work, which would else wait for stops, longer than short work may;
-/// work of priority 2 leaves twice that, and so on.
-const SPARE: f64 = 0.12;
-/// The most that is left.
-const MOST_SPARE: f64 = 0.3;
-/// How long after the last urgent job that is so.
-const SPARE_FOR: Duration = Duration::from_secs(30);
-
 /// What a unit needs.
 #[derive(Clone, Debug)]
 pub(super) struct Request {
@@ -78,6 +69,12 @@
         }
     }
 
+    /// Returns how many of its tasks a worker holds when it is empty.
+    pub fn slots(&self, worker: &Worker) -> u32 {
+        let most = self.per_worker.unwrap_or(u32::MAX);
+        worker.capacity.times(&self.charge).min(most)
+    }
+
     /// Returns the step that the unit belongs to.
     pub fn step_key(&self) -> StepKey {
         (self.id.clone(), self.key.time, self.key.step)
@@ -172,11 +169,10 @@
     /// are empty.
     fn roomy_racks(&self, request: &Request) -> BTreeSet<Text> {
         let mut slots: BTreeMap<&Text, u32> = BTreeMap::new();
-        let most = request.per_worker.unwrap_or(u32::MAX);
         for worker in self.workers.values() {
             let here = slots.entry(&worker.rack).or_default();
             if worker.pool == request.pool && !worker.leaving && !worker.gone {
-                *here += worker.capacity.times(&request.charge).min(most);
+                *here = here.saturating_add(request.slots(worker));
             }
         }
         slots
@@ -232,41 +228,6 @@
             .collect()
     }
 
-    /// Returns the empty workers that a unit leaves to urgent ones, in as
-    /// few racks as may be.
-    fn spare(
-        &self,
-        request: &Request,
-        sound: &[(&AgentId, &Worker)],
-        now: Moment,
-    ) -> BTreeSet<AgentId> {
-        let share = (SPARE * f64::from(request.priority)).min(MOST_SPARE);
-        let most = (sound.len() as f64 * share) as usize;
-        let urgent = self
-            .urgent
-            .get(&request.pool)
-            .is_some_and(|last| now.now < *last + SPARE_FOR);
-        if request.priority == 0 || request.past_kept || !urgent {
-            return BTreeSet::new();
-        }
-        let slots = |worker: &Worker| worker.capacity.times(&request.charge);
-        let all: u64 = sound.iter().map(|(_, w)| u64::from(slots(w))).sum();
-        let largest = sound.iter().map(|(_, w)| slots(w)).max().unwrap_or(0);
-        let without = all.saturating_sub(most as u64 * u64::from(largest));
-        if without < u64::from(request.width) {
-            return BTreeSet::new();
-        }
-        let mut racks: BTreeMap<&Text, Vec<&AgentId>> = BTreeMap::new();
-        for (agent, worker) in sound {
-            if worker.used == Resources::default() {
-                racks.entry(&worker.rack).or_default().push(agent);
-            }
-        }
-        let mut racks: Vec<Vec<&AgentId>> = racks.into_values().collect();
-        racks.sort_by_key(|agents| std::cmp::Reverse(agents.len()));
-        racks.into_iter().flatten().take(most).cloned().collect()
-    }
-
     pub(super) fn usable(
         &self,
         worker: &Worker,
@@ -310,10 +271,7 @@
     request: &Request,
     sound: Vec<(&'a AgentId, &'a Worker)>,
 ) -> Vec<(&'a AgentId, &'a Worker)> {
-    let most = request.per_worker.unwrap_or(u32::MAX);
-    let slots = |worker: &Worker| {
-        u64::from(worker.capacity.times(&request.charge).min(most))
-    };
+    let slots = |worker: &Worker| u64::from(request.slots(worker));
     let tried = |agent: &AgentId| request.avoid.contains(agent);
     let others = sound.iter().filter(|(agent, _)| !tried(agent));
     let held: u64 = others.map(|(_, worker)| slots(worker)).sum();
--- /dev/null
+++ b/src/graph/spare.rs
@@ -0,0 +1,63 @@
+//! Workers that are left empty for urgent work.
+//!
+//! A stop takes up to a second, longer than a short urgent job can wait: so
+//! what can wait does not fill a pool to the last worker.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::graph::book::Worker;
+use crate::graph::place::Request;
+use crate::graph::AgentId;
+use crate::graph::Book;
+use crate::graph::Moment;
+use crate::graph::Resources;
+use crate::graph::Text;
+
+/// The share of a pool's workers that work of priority 1 leaves empty for
+/// urgent work, which would else wait for stops, longer than short work may;
+/// work of priority 2 leaves twice that, and so on.
+const SPARE: f64 = 0.12;
+/// The most that is left.
+const MOST_SPARE: f64 = 0.3;
+/// How long after the last urgent job that is so.
+const SPARE_FOR: Duration = Duration::from_secs(30);
+
+impl Book {
+    /// Returns the empty workers that a unit leaves to urgent ones, in as
+    /// few racks as may be.
+    pub(super) fn spare(
+        &self,
+        request: &Request,
+        sound: &[(&AgentId, &Worker)],
+        now: Moment,
+    ) -> BTreeSet<AgentId> {
+        let share = (SPARE * f64::from(request.priority)).min(MOST_SPARE);
+        let most = (sound.len() as f64 * share) as usize;
+        let urgent = self
+            .urgent
+            .get(&request.pool)
+            .is_some_and(|last| now.now < *last + SPARE_FOR);
+        if request.priority == 0 || request.past_kept || !urgent {
+            return BTreeSet::new();
+        }
+        let slots = || sound.iter().map(|(_, w)| u64::from(request.slots(w)));
+        let largest = slots().max().unwrap_or(0);
+        let without =
+            slots().sum::<u64>().saturating_sub(most as u64 * largest);
+        if without < u64::from(request.width) {
+            return BTreeSet::new();
+        }
+        let mut racks: BTreeMap<&Text, Vec<&AgentId>> = BTreeMap::new();
+        for (agent, worker) in sound {
+            if worker.used == Resources::default() {
+                racks.entry(&worker.rack).or_default().push(agent);
+            }
+        }
+        let mut racks: Vec<Vec<&AgentId>> = racks.into_values().collect();
+        racks.sort_by_key(|agents| Reverse(agents.len()));
+        racks.into_iter().flatten().take(most).cloned().collect()
+    }
+}
--- a/tests/it/spare.rs
+++ b/tests/it/spare.rs
@@ -82,3 +82,20 @@
     site.settle();
     assert_eq!((site.running("low"), site.running("urgent")), (0, 1));
 }
+
+#[test]
+fn a_gang_of_one_task_a_worker_gets_every_worker() {
+    let mut site = site();
+    // Most is in use, so that waiting alone helps nobody.
+    let mut beside = step(9, 6, false);
+    beside.per_worker = Some(1);
+    site.submit(job("beside", 0, vec![beside], &site));
+    site.settle();
+    site.end_all("beside");
+    let mut gang = step(9, 1, true);
+    gang.same_rack = false;
+    gang.per_worker = Some(1);
+    site.submit(job("wide", 1, vec![gang], &site));
+    site.settle();
+    assert_eq!(site.running("wide"), 9);
+}
