Give a submission up after half of its caller's time

The caller had no time left to ask another entry, which may reach the store. Change: half of the time is spent on it at most. Test: admission.rs, fails without (3.0 s).

--- a/src/cell/admission.rs
+++ b/src/cell/admission.rs
@@ -85,7 +85,9 @@
         }
     }
 
-    /// Keeps a job, unless it is kept already.
+    /// Keeps a job, unless it is kept already. Half of the time until the
+    /// deadline is spent on it at most: the caller then still has time to
+    /// ask again under the same name, through another entry.
     pub async fn submit(&self, job: &Job, deadline: Instant) -> Submitted {
         let submitted = match serde_json::to_vec(job) {
             Ok(value) => self.create(job, value, deadline).await,
@@ -107,13 +109,15 @@
         value: Vec<u8>,
         deadline: Instant,
     ) -> Submitted {
+        let began = Instant::now();
+        let deadline = began + deadline.duration_since(began) / 2;
         let key = keys::job(&job.id);
         let absent = [Compare::Modified(key.clone(), 0)];
         let puts = vec![
             Put::Value(key, value, 0),
             Put::Value(keys::waits(&job.queue, &job.id), Vec::new(), 0),
         ];
-        let patience = (Instant::now() + PATIENCE).min(deadline);
+        let patience = (began + PATIENCE).min(deadline);
         loop {
             let swap = self.store.swap(&absent, puts.clone());
             let until = match self.is_unsure(&job.id) {
@@ -124,7 +128,8 @@
                 Ok(Ok(Swap::Written(_) | Swap::Refused(_))) => {
                     return Submitted::Accepted;
                 }
-                Ok(Err(Error::Unreached(_))) if Instant::now() < until => {}
+                Ok(Err(Error::Unreached(_)))
+                    if Instant::now() + AGAIN * 2 < until => {}
                 Ok(Err(Error::Unreached(error))) => {
                     slog::warn!(self.log, "entry: the store turns a job away";
                         "job" => &*job.id, "error" => %error);
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -76,6 +76,11 @@
 pub struct Memory(Arc<Mutex<Data>>);
 
 impl Memory {
+    /// Loses the answers of so many writes.
+    pub fn lose(&self, answers: u32) {
+        self.lock().lose = answers;
+    }
+
     /// Turns so many calls away.
     pub fn refuse(&self, calls: u32) {
         self.lock().refuse = calls;
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decision core, the replay and the processes.
 
+mod admission;
 mod advice;
 mod cell;
 mod examples;
