Refuse or bound what would have ended the planner

Amounts near the largest number overflowed the sums. Change: expected times are believed up to 30 days; slots are added without overflow; jobs of more than 10,000 times or with an amount outside 0 to 1e12 are refused with 400.

--- a/src/graph/history.rs
+++ b/src/graph/history.rs
@@ -15,6 +15,10 @@
 /// How many runs of a queue are needed before they count.
 const LEAST: usize = 4;
 
+/// The longest that is believed of a run: callers declare anything, and
+/// several times as long must still be a time.
+const LONGEST: Duration = Duration::from_secs(30 * 24 * 3600);
+
 /// The runs that were done, by queue.
 #[derive(Clone, Debug, Default)]
 pub(super) struct History {
@@ -39,7 +43,8 @@
 
     /// Returns how long a task of a step is expected to run.
     pub fn expect(&self, queue: &Text, step: &Step) -> Duration {
-        self.medians.get(queue).copied().unwrap_or(step.estimate)
+        let median = self.medians.get(queue).copied();
+        median.unwrap_or(step.estimate).min(LONGEST)
     }
 }
 
--- a/src/graph/job.rs
+++ b/src/graph/job.rs
@@ -202,17 +202,38 @@
         /// How many.
         tasks: u64,
     },
-    /// A resource is negative.
-    #[error("steps[{step}]: a negative resource, expected 0 or more")]
-    Negative {
+    /// It runs too often.
+    #[error("times: {times}, expected at most {MAX_TIMES}")]
+    Times {
+        /// How often.
+        times: u32,
+    },
+    /// A task asks for what no worker can have.
+    #[error(
+        "steps[{step}]: cpu {cpu}, memory {memory}, accelerators \
+         {accelerators}, expected 0 to {MAX_RESOURCE} each"
+    )]
+    Resources {
         /// Its number.
         step: usize,
+        /// Thousandths of a core.
+        cpu: i64,
+        /// Memory in MB.
+        memory: i64,
+        /// Accelerators.
+        accelerators: i64,
     },
 }
 
 /// The most tasks of a job, a memory bound of the planner.
 pub const MAX_TASKS: u64 = 10_000;
 
+/// The most of a resource that a task may ask for: far beyond any worker,
+/// and [`MAX_TASKS`] times as much is still a number.
+pub const MAX_RESOURCE: i64 = 1_000_000_000_000;
+/// The most times that a job runs, a bound of the planner's time.
+pub const MAX_TIMES: u32 = 10_000;
+
 impl Job {
     /// Checks that the job makes sense.
     ///
@@ -226,6 +247,11 @@
         for (number, step) in self.steps.iter().enumerate() {
             check_step(number, step)?;
         }
+        if self.times() > MAX_TIMES {
+            return Err(Error::Times {
+                times: self.times(),
+            });
+        }
         let tasks = self.steps.iter().map(|s| u64::from(s.replicas)).sum();
         match tasks {
             tasks if tasks > MAX_TASKS => Err(Error::Tasks { tasks }),
@@ -273,8 +299,14 @@
         memory,
         accelerators,
     } = step.resources;
-    if cpu < 0 || memory < 0 || accelerators < 0 {
-        return Err(Error::Negative { step: number });
+    let fits = |asked: &i64| (0..=MAX_RESOURCE).contains(asked);
+    if ![cpu, memory, accelerators].iter().all(fits) {
+        return Err(Error::Resources {
+            step: number,
+            cpu,
+            memory,
+            accelerators,
+        });
     }
     match step.after.iter().find(|on| **on >= number) {
         Some(on) => Err(Error::After {
--- a/src/graph/place.rs
+++ b/src/graph/place.rs
@@ -143,8 +143,8 @@
     ) -> Vec<Option<BTreeSet<Text>>> {
         let mut racks: BTreeMap<Text, u32> = BTreeMap::new();
         for candidate in candidates {
-            *racks.entry(candidate.rack.clone()).or_default() +=
-                candidate.slots(&request.charge);
+            let here = racks.entry(candidate.rack.clone()).or_default();
+            *here = here.saturating_add(candidate.slots(&request.charge));
         }
         let roomy = self.roomy_racks(request);
         let near = racks.iter().filter(|(rack, _)| roomy.contains(*rack));
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod graph_faults;
 mod in_touch;
 mod near;
+mod odd_jobs;
 mod pace;
 mod pages;
 mod plan_health;
