Lease nothing to a worker that says nothing

Each look and each start, answered or not, counted as having prolonged the worker's lease to 6 s from then; so the lease was never known to have lapsed, the worker never taken for gone, its units stayed Running without running, and new ones were placed there. Change: without an answer for 1.5 s nothing is leased; the report says that the worker is silent, and nothing new is placed there. Test: cell::tasks_of_a_worker_that_falls_silent_begin_elsewhere; fails without (with a lease of 3 s; one of 0.8 s did not show it).

--- a/src/cell/member/state.rs
+++ b/src/cell/member/state.rs
@@ -208,10 +208,14 @@
         known.due()
     }
 
-    /// Returns until when a lease may go now, if it may go at all.
+    /// Returns until when a lease may go now, if it may go at all: to a
+    /// worker that says nothing none is given, or it could never be known
+    /// that what runs there has lapsed.
     pub fn target(&self, lease: Duration, now: Instant) -> Option<Instant> {
         let granted = self.granted?;
-        (granted > now + LEAST_LEASE).then(|| granted.min(now + lease))
+        let silent = self.worker.as_ref().is_some_and(|w| w.is_silent(now));
+        let may = granted > now + LEAST_LEASE && !silent;
+        may.then(|| granted.min(now + lease))
     }
 
     /// Returns the next look.
@@ -258,8 +262,7 @@
             return false;
         };
         let lapsed = known.leased.is_none_or(|l| now > l + LEASE_SLACK);
-        let silent = now > known.answered + SILENT;
-        let over = known.over.is_none() && lapsed && silent;
+        let over = known.over.is_none() && lapsed && known.is_silent(now);
         if over {
             known.over = Some(now);
         }
@@ -300,6 +303,11 @@
         self.over = self.over.filter(|_| self.beat.leaving);
     }
 
+    /// Returns whether the worker has not answered for long.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        now > self.answered + SILENT
+    }
+
     pub fn is_over(&self, now: Instant) -> bool {
         self.over.is_some_and(|over| now >= over)
     }
@@ -406,6 +414,7 @@
             labels: self.beat.labels.clone(),
             capacity: self.beat.capacity,
             leaving: self.beat.leaving,
+            silent: self.is_silent(now),
             remaining_ms: remaining.map(|ms| ms as u64),
             lists,
             refused: refused.collect(),
--- a/src/graph/book.rs
+++ b/src/graph/book.rs
@@ -76,6 +76,8 @@
     pub labels: Vec<Text>,
     pub capacity: Resources,
     pub leaving: bool,
+    /// Whether it has not answered its agent for long.
+    pub silent: bool,
     /// Until when it stays at least, while it is leaving.
     pub stays: Option<Instant>,
     /// What the members placed here take, and what is kept for others.
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -200,6 +200,7 @@
                 .remaining_ms
                 .map(|ms| now.now + Duration::from_millis(ms));
             worker.leaving = said.leaving;
+            worker.silent = said.silent;
         }
     }
 
@@ -340,6 +341,7 @@
         labels: said.labels.clone(),
         capacity: said.capacity,
         leaving: said.leaving,
+        silent: said.silent,
         stays: None,
         used,
         kept: Resources::default(),
--- a/src/graph/place.rs
+++ b/src/graph/place.rs
@@ -237,6 +237,7 @@
         let label = request.label.as_ref();
         worker.pool == request.pool
             && !worker.leaving
+            && !worker.silent
             && !worker.gone
             && !worker.health.apart(now.now)
             && now.now < worker.granted + self.terms.contact
--- a/src/graph/report.rs
+++ b/src/graph/report.rs
@@ -122,6 +122,9 @@
     pub capacity: Resources,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// Whether it has not answered its agent for long.
+    #[serde(default)]
+    pub silent: bool,
     /// How long at least it stays, while it is leaving, in ms.
     pub remaining_ms: Option<u64>,
     /// What it lists.
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -261,6 +261,8 @@
 
 #[derive(Default)]
 struct Tasks {
+    /// Whether it says nothing any more.
+    mute: bool,
     token: Revision,
     running: Vec<Running>,
     ended: Vec<Ended>,
@@ -306,6 +308,13 @@
         }
     }
 
+    /// Returns unless the worker is mute.
+    async fn speak(&self) {
+        if self.lock().mute {
+            std::future::pending::<()>().await;
+        }
+    }
+
     fn end_all(&self, how: How) {
         let mut tasks = self.lock();
         for running in std::mem::take(&mut tasks.running) {
@@ -333,6 +342,7 @@
         start: &Start,
         _expires: WorkerTime,
     ) -> Result<WorkerTime, worker::Error> {
+        self.speak().await;
         let mut tasks = self.fenced(call)?;
         let name = start.task.to_string();
         let same = |r: &Running| r.task == start.task && r.run == start.run;
@@ -361,6 +371,7 @@
         call: &Call,
         stop: &Stop,
     ) -> Result<WorkerTime, worker::Error> {
+        self.speak().await;
         let mut tasks = self.fenced(call)?;
         let same = |r: &Running| r.task == stop.task && r.run == stop.run;
         let at = tasks.running.iter().position(same);
@@ -377,6 +388,7 @@
         call: &Call,
         pace: &Pace,
     ) -> Result<WorkerTime, worker::Error> {
+        self.speak().await;
         let mut tasks = self.fenced(call)?;
         for running in &mut tasks.running {
             if running.task == pace.task && running.run == pace.run {
@@ -393,6 +405,7 @@
         _expires: Option<WorkerTime>,
         wait: Duration,
     ) -> Result<Look, worker::Error> {
+        self.speak().await;
         let deadline = Instant::now() + wait.min(Duration::from_millis(50));
         loop {
             {
@@ -463,10 +476,20 @@
 }
 
 fn agent(store: &Memory, worker: &Fake) -> JoinHandle<()> {
+    agent_of("agent", Duration::from_secs(6), store, worker)
+}
+
+/// Starts an agent of that name, which leases its worker for so long.
+fn agent_of(
+    name: &str,
+    lease: Duration,
+    store: &Memory,
+    worker: &Fake,
+) -> JoinHandle<()> {
     let config = Config {
-        agent: "agent".into(),
+        agent: name.into(),
         survival: Duration::from_secs(12),
-        lease: Duration::from_secs(6),
+        lease,
         log: log::none(),
     };
     let member = Member::new(config, worker.clone(), store.clone());
@@ -666,3 +689,22 @@
     agent.abort();
     second.kill();
 }
+
+#[tokio::test]
+async fn tasks_of_a_worker_that_falls_silent_begin_elsewhere() {
+    let store = Memory::default();
+    let (silent, other) = (Fake::new(), Fake::new());
+    let admission = Admission::new(store.clone(), log::none());
+    let entry = Entry::start("entry", &store).await;
+    let lease = Duration::from_secs(3);
+    let first = agent_of("first", lease, &store, &silent);
+    admission.submit(&job("a"), soon()).await;
+    runs(&silent, 2).await;
+    // Its agent lives, and goes on being granted what runs.
+    silent.lock().mute = true;
+    let second = agent_of("second", lease, &store, &other);
+    runs(&other, 2).await;
+    first.abort();
+    second.abort();
+    entry.kill();
+}
--- a/tests/it/graph.rs
+++ b/tests/it/graph.rs
@@ -70,6 +70,7 @@
                     ..resources(64000, 8)
                 },
                 leaving: self.leaving,
+                silent: false,
                 remaining_ms: None,
                 lists: Lists {
                     running: self.running.clone(),
--- a/tests/it/graph_faults.rs
+++ b/tests/it/graph_faults.rs
@@ -388,6 +388,7 @@
                 labels: Vec::new(),
                 capacity: room(),
                 leaving: false,
+                silent: false,
                 remaining_ms: None,
                 lists: Lists {
                     running: worker.running.clone(),
