Bar a start without answer before its run is refused

The first order may be carried out seconds later all the same, while the next run is under way elsewhere. Change: after an unanswered start the run is stopped there, which bars it, before it is reported as refused. Test: cell::a_start_without_answer_is_barred_before_it_is_refused.

--- a/src/cell/member/act.rs
+++ b/src/cell/member/act.rs
@@ -68,10 +68,12 @@
     }
 
     async fn carry_out(&self, key: &Key) {
+        // Whether a start had no answer: it may be carried out yet.
+        let mut unsure = false;
         loop {
             let done = match self.next(key) {
                 Next::Start(call, start, expires) => {
-                    self.start(&call, &start, expires, key).await
+                    self.start(&call, &start, expires, key, &mut unsure).await
                 }
                 Next::Stop(call) => self.stop(&call, key).await,
                 Next::Wait => false,
@@ -125,9 +127,11 @@
         start: &Start,
         expires: WorkerTime,
         key: &Key,
+        unsure: &mut bool,
     ) -> bool {
         if self.leaves(call) {
-            return self.refuse(call, key, Refusal::Leaving);
+            let barred = !*unsure || self.bar(call, key).await;
+            return barred && self.refuse(call, key, Refusal::Leaving);
         }
         let answer = self.0.worker.start(call, start, expires);
         let answer = tokio::time::timeout(ANSWER, answer).await;
@@ -145,7 +149,10 @@
                 }
                 true
             }
-            Ok(Err(Error::Refused(why))) => self.refuse(call, key, why),
+            Ok(Err(Error::Refused(why))) => {
+                let barred = !*unsure || self.bar(call, key).await;
+                barred && self.refuse(call, key, why)
+            }
             Ok(Err(Error::Late(time))) => {
                 let mut state = self.lock();
                 if let Some(known) = &mut state.worker {
@@ -157,11 +164,20 @@
                 self.fenced(call.token);
                 false
             }
-            Ok(Err(Error::OtherLife | Error::Lost(_))) | Err(_) => false,
+            Ok(Err(Error::OtherLife | Error::Lost(_))) | Err(_) => {
+                *unsure = true;
+                false
+            }
         }
     }
 
     async fn stop(&self, call: &Call, key: &Key) -> bool {
+        self.bar(call, key).await && self.refuse(call, key, Refusal::Barred)
+    }
+
+    /// Stops a run, or sees to it that it never begins; returns whether that
+    /// is sure.
+    async fn bar(&self, call: &Call, key: &Key) -> bool {
         let stop = Stop {
             task: key.0.clone(),
             run: key.1,
@@ -172,9 +188,7 @@
             "task" => %key.0, "run" => key.1, "life" => &*call.life,
             "token" => call.token, "outcome" => ?answer);
         match answer {
-            Ok(Ok(_) | Err(Error::Refused(Refusal::Barred))) => {
-                self.refuse(call, key, Refusal::Barred)
-            }
+            Ok(Ok(_) | Err(Error::Refused(Refusal::Barred))) => true,
             Ok(Err(Error::Fenced)) => {
                 self.fenced(call.token);
                 false
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -263,6 +263,10 @@
 struct Tasks {
     /// Whether it says nothing any more.
     mute: bool,
+    /// How many starts are not answered, and may be carried out later.
+    late: u32,
+    /// Whether it has no room.
+    full: bool,
     token: Revision,
     running: Vec<Running>,
     ended: Vec<Ended>,
@@ -343,6 +347,16 @@
         _expires: WorkerTime,
     ) -> Result<WorkerTime, worker::Error> {
         self.speak().await;
+        {
+            let mut tasks = self.fenced(call)?;
+            if tasks.late > 0 {
+                tasks.late -= 1;
+                return Err(worker::Error::Lost("on demand".to_owned()));
+            }
+            if tasks.full {
+                return Err(worker::Error::Refused(Refusal::Room));
+            }
+        }
         let mut tasks = self.fenced(call)?;
         let name = start.task.to_string();
         let same = |r: &Running| r.task == start.task && r.run == start.run;
@@ -708,3 +722,29 @@
     second.abort();
     entry.kill();
 }
+
+#[tokio::test]
+async fn a_start_without_answer_is_barred_before_it_is_refused() {
+    let store = Memory::default();
+    let worker = Fake::new();
+    let admission = Admission::new(store.clone(), log::none());
+    let entry = Entry::start("entry", &store).await;
+    let agent = agent(&store, &worker);
+    {
+        let mut tasks = worker.lock();
+        tasks.late = 2;
+        tasks.full = true;
+    }
+    admission.submit(&job("a"), soon()).await;
+    // Before the planner may place the first run elsewhere, it is sure that
+    // the late order starts nothing here.
+    let barred = || async {
+        let barred = worker.lock().barred.clone();
+        (barred.len() >= 2).then_some(barred)
+    };
+    let barred = until("the runs are barred", barred).await;
+    assert!(barred.contains(&("a.0.0.0".to_owned(), 1)), "{barred:?}");
+    assert!(barred.contains(&("a.0.0.1".to_owned(), 1)), "{barred:?}");
+    agent.abort();
+    entry.kill();
+}
