Soak: except ends whose worker's lease ran out before they were noted

The users' rules except just this (an end counts as noted unless the lease lapsed between the two). Change: the stand-in worker remembers up to which end its lease ran out. Conclusion: no change of the product; that it could count such an end is listed in INCIDENTS.md.

--- a/crates/landingvalve-soak/src/worker.rs
+++ b/crates/landingvalve-soak/src/worker.rs
@@ -73,6 +73,9 @@
     running: BTreeMap<TaskId, Running>,
     ended: Vec<Ended>,
     number: u64,
+    /// Ends up to this number came before the lease last ran out: by the
+    /// users' rules they do not count as noted later.
+    lapsed: u64,
     barred: BTreeMap<TaskId, u32>,
     promise: Promise,
 }
@@ -121,6 +124,7 @@
             running: BTreeMap::new(),
             ended: Vec::new(),
             number: 0,
+            lapsed: 0,
             barred: BTreeMap::new(),
             promise,
         })))
@@ -142,6 +146,7 @@
         data.ended.clear();
         data.barred.clear();
         data.number = 0;
+        data.lapsed = 0;
         data.token = 0;
         data.sequence = 0;
         data.lives += 1;
@@ -217,6 +222,9 @@
             };
             self.end(&task, how);
         }
+        if lapsed {
+            self.lapsed = self.number;
+        }
     }
 
     fn end(&mut self, task: &str, how: &'static str) {
@@ -320,7 +328,9 @@
             .partition(|end| end.number <= order.last_seen);
         self.ended = left;
         let noted: Vec<Ended> = noted;
-        for end in noted.iter().filter(|end| end.how == "done") {
+        let counts =
+            |end: &&Ended| end.how == "done" && end.number > self.lapsed;
+        for end in noted.iter().filter(counts) {
             self.promise.noted(&end.task);
         }
         Some(!self.ended.is_empty())
