Decide by one typed policy, and tell decisions with fields

Cause: what decides differs in constants spread over modules, so no mechanism could be switched off for a measurement; and the decision lines carried ids inside their text, without saying what they rest on.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -19,6 +19,7 @@
 pub mod planner;
 pub mod rpc;
 pub mod session;
+mod teller;
 pub mod worker;
 mod writer;
 
--- a/src/cell/planner.rs
+++ b/src/cell/planner.rs
@@ -20,6 +20,7 @@
 use crate::cell::keys;
 use crate::cell::keys::Intake;
 use crate::cell::rpc::Answer;
+use crate::cell::teller::Teller;
 use crate::cell::writer;
 use crate::cell::writer::Known;
 use crate::cell::writer::Written;
@@ -31,6 +32,7 @@
 use crate::graph::Progress;
 use crate::graph::Question;
 use crate::graph::Report;
+use crate::graph::Step;
 use crate::graph::Terms;
 use crate::graph::Text;
 use crate::graph::Ticket;
@@ -118,6 +120,7 @@
     due: BTreeSet<AgentId>,
     guarantees: BTreeMap<Text, i64>,
     lost: watch::Sender<bool>,
+    teller: Teller,
     log: slog::Logger,
 }
 
@@ -193,6 +196,7 @@
             due: BTreeSet::new(),
             guarantees: BTreeMap::new(),
             lost: start.lost,
+            teller: Teller::new(start.log.clone()),
             log: start.log,
         };
         for item in start.progress.items {
@@ -248,9 +252,14 @@
         match serde_json::from_slice::<Job>(value) {
             Ok(job) => {
                 let progress = self.kept.remove(id);
+                let age = now.wall.duration_since(job.accepted);
                 slog::info!(self.log, "planner: a job is taken in";
-                    "job" => id, "known" => progress.is_some(),
-                    "steps" => ?job.steps, "repeat" => ?job.repeat);
+                    "job" => id, "account" => &*job.account,
+                    "queue" => &*job.queue, "priority" => job.priority,
+                    "known" => progress.is_some(),
+                    "age_ms" => age.unwrap_or_default().as_millis() as u64,
+                    "steps" => steps(&job), "times" => job.times(),
+                    "token" => self.claim.token);
                 self.book.accept(job, progress, now);
             }
             Err(error) => slog::error!(self.log,
@@ -325,9 +334,9 @@
             }
         }
         self.book.step(Moment::present());
-        for note in self.book.take_notes() {
-            slog::info!(self.log, "planner: {}", note;
-                "token" => self.claim.token);
+        let token = self.claim.token;
+        for decision in self.book.take_decisions() {
+            self.teller.tell(&decision, token);
         }
         self.ask(myself);
         self.write(myself);
@@ -450,6 +459,27 @@
     }
 }
 
+/// Returns the shape of a job in short: of each step its tasks, what each
+/// takes in accelerators and cores, and how long it was said to take.
+fn steps(job: &Job) -> String {
+    let step = |step: &Step| {
+        let kind = match (step.gang, step.same_rack) {
+            (true, true) => " in a rack",
+            (true, false) => " together",
+            (false, _) => "",
+        };
+        format!(
+            "{}x{}a{}c{}ms{kind}",
+            step.replicas,
+            step.resources.accelerators,
+            step.resources.cpu as f64 / 1000.0,
+            step.estimate.as_millis()
+        )
+    };
+    let steps: Vec<String> = job.steps.iter().map(step).collect();
+    steps.join(", ")
+}
+
 fn send(log: &slog::Logger, reply: RpcReplyPort<Answer>, answer: Answer) {
     if reply.send(answer).is_err() {
         slog::debug!(log, "planner: an agent no longer waits");
--- /dev/null
+++ b/src/cell/teller.rs
@@ -0,0 +1,189 @@
+//! Telling decisions in the log, a line each, within a budget.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::graph::Decision;
+use crate::graph::Life;
+use crate::graph::Subject;
+use crate::graph::Wait;
+use crate::store::Revision;
+
+/// How many lines of one kind are written a second: a hundred jobs that come
+/// at once are told whole, and a storm costs no more than that.
+const BUDGET: u32 = 400;
+/// The time that the budget is for.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// A share of the log, for each kind of decision.
+#[derive(Debug, Default)]
+struct Budget {
+    written: u32,
+    left_out: u32,
+}
+
+/// Writes decisions to a log.
+pub(super) struct Teller {
+    log: slog::Logger,
+    /// When the present window ends.
+    until: Instant,
+    /// What concerns workers.
+    workers: Budget,
+    /// What concerns units and jobs.
+    units: Budget,
+}
+
+impl Teller {
+    /// Returns a teller with a whole budget.
+    pub fn new(log: slog::Logger) -> Teller {
+        Teller {
+            log,
+            until: Instant::now() + WINDOW,
+            workers: Budget::default(),
+            units: Budget::default(),
+        }
+    }
+
+    /// Writes a decision, or counts it where the budget is spent. What a job
+    /// came to is always written.
+    pub fn tell(&mut self, decision: &Decision, token: Revision) {
+        self.renew();
+        let budget = match decision {
+            Decision::Known { .. }
+            | Decision::Gone { .. }
+            | Decision::Apart { .. }
+            | Decision::Paced { .. } => &mut self.workers,
+            _ => &mut self.units,
+        };
+        let over = matches!(decision, Decision::Over { .. });
+        if budget.written >= BUDGET && !over {
+            budget.left_out += 1;
+            return;
+        }
+        budget.written += 1;
+        write(&self.log, decision, token);
+    }
+
+    /// Begins another window once the present one is over.
+    fn renew(&mut self) {
+        let now = Instant::now();
+        if now < self.until {
+            return;
+        }
+        self.until = now + WINDOW;
+        let left_out = (self.workers.left_out, self.units.left_out);
+        if left_out != (0, 0) {
+            slog::warn!(self.log, "planner: lines were left out";
+                "workers" => left_out.0, "units" => left_out.1);
+        }
+        self.workers = Budget::default();
+        self.units = Budget::default();
+    }
+}
+
+fn write(log: &slog::Logger, decision: &Decision, token: Revision) {
+    match decision {
+        Decision::Known { agent, life } => slog::info!(log,
+            "planner: a worker is known"; "agent" => &**agent,
+            "worker" => &**life, "token" => token),
+        Decision::Gone { life, silent } => slog::warn!(log,
+            "planner: a worker is taken for gone"; "worker" => &**life,
+            "silent_ms" => millis(silent), "token" => token),
+        Decision::Apart { life, time, failed } => slog::warn!(log,
+            "planner: a worker is kept apart"; "worker" => &**life,
+            "for_ms" => millis(time), "failed" => failed, "token" => token),
+        Decision::Paced {
+            agent,
+            from,
+            to,
+            worst,
+        } => slog::info!(log,
+            "planner: what fills a worker is paced"; "agent" => &**agent,
+            "from" => from, "to" => to, "worst" => worst, "token" => token),
+        Decision::Waits {
+            of,
+            what,
+            slack,
+            workers,
+        } => slog::info!(log,
+            "planner: a unit waits"; of, "on" => word(*what),
+            "slack_ms" => slack, "of_workers" => workers, "token" => token),
+        Decision::Kept {
+            of,
+            on,
+            stopped,
+            cost,
+        } => slog::info!(log,
+            "planner: room is kept"; of, "workers" => names(on),
+            "stopped" => stopped, "cost_core_s" => cost.round(),
+            "token" => token),
+        Decision::Placed {
+            of,
+            run,
+            on,
+            waited,
+            slack,
+            expected,
+        } => slog::info!(log,
+            "planner: a unit is placed"; of, "run" => run,
+            "workers" => names(on), "waited_ms" => millis(waited),
+            "slack_ms" => slack, "expected_ms" => millis(expected),
+            "token" => token),
+        Decision::Stopped { of, run, why } => slog::info!(log,
+            "planner: a run is stopped"; of, "run" => run, "why" => why,
+            "token" => token),
+        Decision::Ended {
+            of,
+            run,
+            member,
+            life,
+            how,
+            ran,
+        } => slog::info!(log,
+            "planner: a run has ended"; of, "run" => run, "member" => member,
+            "worker" => &**life, "how" => how, "ran_ms" => millis(ran),
+            "token" => token),
+        Decision::Over {
+            job,
+            account,
+            queue,
+            outcome,
+            took,
+            objective,
+        } => slog::info!(log,
+            "planner: a job has ended"; "job" => &**job,
+            "account" => &**account, "queue" => &**queue,
+            "outcome" => ?outcome, "took_ms" => millis(took),
+            "objective_ms" => millis(objective), "token" => token),
+    }
+}
+
+impl slog::KV for Subject {
+    fn serialize(
+        &self,
+        _record: &slog::Record<'_>,
+        to: &mut dyn slog::Serializer,
+    ) -> slog::Result {
+        to.emit_str("job", &self.job)?;
+        to.emit_str("account", &self.account)?;
+        to.emit_str("queue", &self.queue)?;
+        to.emit_arguments("unit", &format_args!("{}", self.unit))
+    }
+}
+
+fn millis(time: &Duration) -> u64 {
+    time.as_millis() as u64
+}
+
+fn names(lives: &[Life]) -> String {
+    lives.join(",")
+}
+
+fn word(what: Wait) -> &'static str {
+    match what {
+        Wait::Worker => "a worker",
+        Wait::Room => "room",
+        Wait::Rack => "a rack",
+    }
+}
--- a/src/graph/advice.rs
+++ b/src/graph/advice.rs
@@ -111,8 +111,7 @@
             if !asked.insert((key.time, key.step)) {
                 continue;
             }
-            let step = &entry.job.steps[key.step];
-            let expected = self.history.expect(&entry.job.queue, step);
+            let expected = self.expect(entry, key.step);
             let request = Request::new(entry, key, unit, expected);
             let step = request.step_key();
             let leave = self.leave.get(&step).cloned().unwrap_or_default();
--- a/src/graph/book.rs
+++ b/src/graph/book.rs
@@ -10,21 +10,27 @@
 use crate::graph::advice::Leave;
 use crate::graph::health::Health;
 use crate::graph::history::History;
+use crate::graph::history::Runs;
 use crate::graph::pace::Filling;
+use crate::graph::speed::Speeds;
 use crate::graph::AgentId;
+use crate::graph::Decision;
 use crate::graph::Id;
 use crate::graph::Job;
 use crate::graph::Life;
 use crate::graph::Moment;
 use crate::graph::Outcome;
 use crate::graph::Place;
+use crate::graph::Policy;
 use crate::graph::Progress;
 use crate::graph::Resources;
 use crate::graph::Run;
 use crate::graph::StepKey;
+use crate::graph::Subject;
 use crate::graph::Task;
 use crate::graph::Text;
 use crate::graph::UnitKey;
+use crate::graph::Wait;
 
 /// The times that the decisions rest on.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -43,6 +49,8 @@
     pub gang_wait: Duration,
     /// The longest that a stopped task still occupies its room.
     pub stop: Duration,
+    /// How decisions are made where more than one way would do.
+    pub policy: Policy,
 }
 
 impl Default for Terms {
@@ -54,6 +62,7 @@
             far: 3.0,
             gang_wait: Duration::from_secs(3),
             stop: Duration::from_secs(1),
+            policy: Policy::default(),
         }
     }
 }
@@ -170,6 +179,19 @@
     Leaving,
 }
 
+impl Why {
+    /// Returns the word for it in logs.
+    pub fn word(self) -> &'static str {
+        match self {
+            Why::Over => "job over",
+            Why::Preempted => "room for urgent work",
+            Why::Broken => "member lost",
+            Why::Stuck => "stuck",
+            Why::Leaving => "worker leaving",
+        }
+    }
+}
+
 /// What is placed and started as one.
 #[derive(Clone, Debug)]
 pub(super) struct Unit {
@@ -181,6 +203,8 @@
     /// Where it has failed.
     pub avoid: Vec<AgentId>,
     pub stop: Option<Why>,
+    /// What it was last seen to wait for, and when.
+    pub waits: Option<(Wait, Instant)>,
     pub any_done: bool,
 }
 
@@ -192,6 +216,7 @@
             not_before: now,
             avoid: Vec::new(),
             stop: None,
+            waits: None,
             any_done: false,
         }
     }
@@ -221,6 +246,8 @@
     pub units: BTreeMap<UnitKey, Unit>,
     /// The steps that have been opened.
     pub opened: BTreeSet<(u32, usize)>,
+    /// How long whole runs of each step took.
+    pub ran: BTreeMap<usize, Runs>,
     pub accepted: Instant,
 }
 
@@ -257,6 +284,24 @@
         })
     }
 
+    /// Returns whether a unit's next failure would be its job's.
+    pub fn is_last(&self, key: &UnitKey) -> bool {
+        let kept = self.progress.units.get(key);
+        let failed = kept.map_or(0, |kept| kept.failed);
+        !self.job.steps[key.step].lasting
+            && failed + 1 >= self.job.max_attempts
+    }
+
+    /// Returns a unit with what it belongs to.
+    pub fn subject(&self, key: &UnitKey) -> Subject {
+        Subject {
+            job: self.job.id.clone(),
+            account: self.job.account.clone(),
+            queue: self.job.queue.clone(),
+            unit: *key,
+        }
+    }
+
     /// Returns the name of a member's task.
     pub fn task(&self, key: &UnitKey, member: &Member) -> Task {
         Task {
@@ -281,6 +326,7 @@
     /// The accelerators that each client account is guaranteed.
     pub(super) guarantees: BTreeMap<Text, i64>,
     pub(super) history: History,
+    pub(super) speeds: Speeds,
     /// When the last urgent job of each pool was accepted.
     pub(super) urgent: BTreeMap<Text, Instant>,
     /// Who may run the steps whose starts need leave.
@@ -288,11 +334,11 @@
     pub(super) dirty: BTreeSet<Id>,
     pub(super) stirred: BTreeSet<AgentId>,
     /// What the last steps decided, for the log.
-    pub(super) notes: Vec<String>,
+    pub(super) decisions: Vec<Decision>,
 }
 
-/// The most notes that are kept until they are taken.
-const MAX_NOTES: usize = 2000;
+/// The most decisions that are kept until they are taken.
+const MAX_DECISIONS: usize = 2000;
 
 impl Book {
     /// Returns books without workers and jobs.
@@ -305,11 +351,12 @@
             open: BTreeSet::new(),
             guarantees: BTreeMap::new(),
             history: History::default(),
+            speeds: Speeds::default(),
             urgent: BTreeMap::new(),
             leave: BTreeMap::new(),
             dirty: BTreeSet::new(),
             stirred: BTreeSet::new(),
-            notes: Vec::new(),
+            decisions: Vec::new(),
         }
     }
 
@@ -334,16 +381,30 @@
     }
 
     /// Returns what was decided since this was last called.
-    pub fn take_notes(&mut self) -> Vec<String> {
-        std::mem::take(&mut self.notes)
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decisions)
     }
 
-    pub(super) fn note(&mut self, note: String) {
-        if self.notes.len() < MAX_NOTES {
-            self.notes.push(note);
+    pub(super) fn note(&mut self, decision: Decision) {
+        if self.decisions.len() < MAX_DECISIONS {
+            self.decisions.push(decision);
         }
     }
 
+    /// Returns what is left until a unit would have to start, in ms; below
+    /// 0 once that is past.
+    pub(super) fn slack(
+        &self,
+        entry: &Entry,
+        key: &UnitKey,
+        now: Moment,
+    ) -> i64 {
+        let (_, latest) = self.urgency(entry, key, now);
+        let left = latest.saturating_duration_since(now.now).as_millis();
+        let past = now.now.saturating_duration_since(latest).as_millis();
+        left as i64 - past as i64
+    }
+
     /// Returns the agents whose orders may have changed since this was last
     /// called.
     pub fn take_stirred(&mut self) -> BTreeSet<AgentId> {
@@ -483,7 +544,18 @@
             self.stop_unit(id, &key, Why::Over, now);
         }
         self.touch(id);
-        self.note(format!("job {id} has ended: {outcome:?}"));
+        let Some(entry) = self.jobs.get(id) else {
+            return;
+        };
+        let over = Decision::Over {
+            job: entry.job.id.clone(),
+            account: entry.job.account.clone(),
+            queue: entry.job.queue.clone(),
+            outcome,
+            took: now.now.saturating_duration_since(entry.accepted),
+            objective: self.objective(entry),
+        };
+        self.note(over);
     }
 }
 
--- /dev/null
+++ b/src/graph/decision.rs
@@ -0,0 +1,150 @@
+//! What was decided, for whoever reads the logs.
+
+use std::time::Duration;
+
+use crate::graph::AgentId;
+use crate::graph::Id;
+use crate::graph::Life;
+use crate::graph::Outcome;
+use crate::graph::Run;
+use crate::graph::Text;
+use crate::graph::UnitKey;
+
+/// Which unit is meant.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Subject {
+    /// Its job.
+    pub job: Id,
+    /// The client account of the job.
+    pub account: Text,
+    /// The queue of the job.
+    pub queue: Text,
+    /// The unit within the job.
+    pub unit: UnitKey,
+}
+
+/// What a unit waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wait {
+    /// Workers that may be used at all.
+    Worker,
+    /// Room on one of them.
+    Room,
+    /// A rack where it is not slow.
+    Rack,
+}
+
+/// A decision, with what it rests on.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// A worker came into the books.
+    Known {
+        /// Its agent.
+        agent: AgentId,
+        /// Its life.
+        life: Life,
+    },
+    /// A worker is taken for gone.
+    Gone {
+        /// Its life.
+        life: Life,
+        /// How long nothing was heard of it.
+        silent: Duration,
+    },
+    /// A worker is kept apart.
+    Apart {
+        /// Its life.
+        life: Life,
+        /// For how long.
+        time: Duration,
+        /// The runs that failed there in a row.
+        failed: usize,
+    },
+    /// A unit finds no place; told once, and when the reason changes.
+    Waits {
+        /// The unit.
+        of: Subject,
+        /// What for.
+        what: Wait,
+        /// What is left until it would have to start, in ms.
+        slack: i64,
+        /// How many workers it may use.
+        workers: usize,
+    },
+    /// Room is kept for a unit.
+    Kept {
+        /// The unit.
+        of: Subject,
+        /// Where.
+        on: Vec<Life>,
+        /// The runs that are stopped for it.
+        stopped: usize,
+        /// The core-seconds that this throws away.
+        cost: f64,
+    },
+    /// A unit is given a run.
+    Placed {
+        /// The unit.
+        of: Subject,
+        /// Which run.
+        run: Run,
+        /// Where its members go.
+        on: Vec<Life>,
+        /// How long it could have been placed.
+        waited: Duration,
+        /// What is left until it would have to start, in ms.
+        slack: i64,
+        /// How long it is expected to run.
+        expected: Duration,
+    },
+    /// A run is stopped.
+    Stopped {
+        /// The unit.
+        of: Subject,
+        /// Which run.
+        run: Run,
+        /// Why.
+        why: &'static str,
+    },
+    /// A run of a task has ended, or never began.
+    Ended {
+        /// The unit.
+        of: Subject,
+        /// Which run.
+        run: Run,
+        /// The member of a gang, from 0.
+        member: usize,
+        /// Where.
+        life: Life,
+        /// How.
+        how: &'static str,
+        /// How long after it was given out.
+        ran: Duration,
+    },
+    /// Another pace is ordered for what fills a worker.
+    Paced {
+        /// The worker's agent.
+        agent: AgentId,
+        /// The share of their speed before, 0 to 100.
+        from: u8,
+        /// The share from now on.
+        to: u8,
+        /// The worst tail there, in parts of its target.
+        worst: f64,
+    },
+    /// A job has ended.
+    Over {
+        /// The job.
+        job: Id,
+        /// Its client account.
+        account: Text,
+        /// Its queue.
+        queue: Text,
+        /// How.
+        outcome: Outcome,
+        /// How long after it was accepted.
+        took: Duration,
+        /// Within which it was to end, as far as its runs tell.
+        objective: Duration,
+    },
+}
--- a/src/graph/health.rs
+++ b/src/graph/health.rs
@@ -1,11 +1,13 @@
 //! Whether a worker can be trusted with work.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::graph::Id;
+use crate::graph::UnitKey;
 
-/// How many jobs must fail in a row before a worker is kept apart.
+/// How many must fail in a row before a worker is kept apart.
 const FAILURES: usize = 2;
 /// How long a worker is kept apart at first; it doubles each time.
 const APART: Duration = Duration::from_secs(4);
@@ -15,8 +17,8 @@
 /// What speaks for and against a worker.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Health {
-    /// The jobs that failed since the last that was done.
-    failed: Vec<Id>,
+    /// The units that failed since the last that was done.
+    failed: Vec<(Id, UnitKey)>,
     /// How often it was kept apart since the last that was done.
     times: u32,
     /// Until when it is kept apart.
@@ -30,12 +32,25 @@
     }
 
     /// Takes note of a run that failed; returns whether the worker is now
-    /// kept apart.
-    pub fn failed(&mut self, job: &Id, now: Instant) -> bool {
-        if !self.failed.contains(job) {
-            self.failed.push(job.clone());
+    /// kept apart. Failures of one job speak against the job, unless it has
+    /// failed nowhere else: that is what `only_here` says.
+    pub fn failed(
+        &mut self,
+        job: &Id,
+        key: &UnitKey,
+        only_here: bool,
+        now: Instant,
+    ) -> bool {
+        let failed = (job.clone(), *key);
+        if !self.failed.contains(&failed) {
+            self.failed.push(failed);
         }
-        self.failed.len() >= FAILURES && self.set_apart(now)
+        let jobs: BTreeSet<&Id> = self.failed.iter().map(|f| &f.0).collect();
+        let against = match only_here {
+            true => self.failed.len(),
+            false => jobs.len(),
+        };
+        against >= FAILURES && self.set_apart(now)
     }
 
     /// Takes note of a run that stood still.
@@ -48,7 +63,13 @@
         self.until.is_some_and(|until| now < until)
     }
 
-    /// Returns how many jobs failed since the last that was done.
+    /// Returns how much longer the worker is kept apart.
+    pub fn apart_for(&self, now: Instant) -> Duration {
+        let left = self.until.map(|u| u.saturating_duration_since(now));
+        left.unwrap_or_default()
+    }
+
+    /// Returns how many units failed since the last that was done.
     pub fn doubt(&self) -> usize {
         self.failed.len()
     }
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -17,6 +17,7 @@
 use crate::graph::settle::End;
 use crate::graph::AgentId;
 use crate::graph::Book;
+use crate::graph::Decision;
 use crate::graph::Ended;
 use crate::graph::Job;
 use crate::graph::Moment;
@@ -58,6 +59,7 @@
             cancelled: false,
             units: Default::default(),
             opened: Default::default(),
+            ran: Default::default(),
             accepted,
         };
         let kept = entry.progress.units.clone();
@@ -187,7 +189,10 @@
                     used = here.fold(used, |used, _| used.plus(&charge));
                 }
             }
-            self.note(format!("worker {life} of {agent} is known"));
+            self.note(Decision::Known {
+                agent: agent.clone(),
+                life,
+            });
             let worker = fresh(said, used, now.now);
             self.workers.insert(agent.clone(), worker);
         }
--- a/src/graph/job.rs
+++ b/src/graph/job.rs
@@ -273,13 +273,13 @@
     }
 
     /// Returns the longest chain of work through the steps, each as long as
-    /// `expected` says.
-    pub fn chain(&self, expected: impl Fn(&Step) -> Duration) -> Duration {
+    /// `expected` says of its number.
+    pub fn chain(&self, expected: impl Fn(usize) -> Duration) -> Duration {
         let mut ends: Vec<Duration> = Vec::new();
-        for step in &self.steps {
+        for (number, step) in self.steps.iter().enumerate() {
             let before = step.after.iter().filter_map(|on| ends.get(*on));
             let before = before.max().copied().unwrap_or_default();
-            ends.push(before + expected(step));
+            ends.push(before + expected(number));
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/src/graph/loss.rs
+++ b/src/graph/loss.rs
@@ -9,6 +9,7 @@
 use crate::graph::book::Why;
 use crate::graph::settle::End;
 use crate::graph::Book;
+use crate::graph::Decision;
 use crate::graph::Moment;
 use crate::graph::Place;
 
@@ -71,19 +72,26 @@
                     .get(&member.place.agent)
                     .filter(|worker| worker.life == member.place.life)
                     .map_or(self.began, |worker| worker.granted);
-                if now.now >= heard + wait && !silent.contains(&member.place) {
-                    silent.push(member.place.clone());
+                let known = silent.iter().any(|(p, _)| *p == member.place);
+                if now.now >= heard + wait && !known {
+                    silent.push((member.place.clone(), heard));
                 }
             }
         }
-        for place in silent {
-            self.note(format!("worker {} is taken for gone", place.life));
+        for (place, heard) in silent {
+            self.note(Decision::Gone {
+                life: place.life.clone(),
+                silent: now.now.saturating_duration_since(heard),
+            });
             self.lose(|other| *other == place, now);
         }
     }
 
     /// Stops the runs that make no progress.
     pub(super) fn stop_stuck(&mut self, now: Moment) {
+        if !self.terms.policy.stuck {
+            return;
+        }
         let mut stuck = Vec::new();
         for entry in self.live() {
             for (key, unit) in &entry.units {
@@ -94,7 +102,7 @@
                 {
                     continue;
                 }
-                let expected = self.history.expect(&entry.job.queue, step);
+                let expected = self.expect(entry, key.step);
                 let far = step.same_rack || step.data_rack.is_some();
                 let expected = match far {
                     true => expected.mul_f64(self.terms.far),
--- a/src/graph/pace.rs
+++ b/src/graph/pace.rs
@@ -13,6 +13,7 @@
 use crate::graph::book::Entry;
 use crate::graph::AgentId;
 use crate::graph::Book;
+use crate::graph::Decision;
 use crate::graph::Run;
 use crate::graph::Running;
 use crate::graph::Task;
@@ -92,10 +93,12 @@
         let before = worker.filling.percent;
         if worker.filling.take(worst, now) {
             let after = worker.filling.percent;
-            self.note(format!(
-                "fillers of {agent} go from {before}% to {after}%, \
-                 the worst tail is at {worst:.2} of its target"
-            ));
+            self.note(Decision::Paced {
+                agent: agent.clone(),
+                from: before,
+                to: after,
+                worst,
+            });
             self.stirred.insert(agent.clone());
         }
     }
--- a/src/graph/place.rs
+++ b/src/graph/place.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use crate::graph::book::Entry;
+use crate::graph::book::State;
 use crate::graph::book::Unit;
 use crate::graph::book::Worker;
 use crate::graph::schedule::LONGEST_IDLE;
@@ -19,8 +20,10 @@
 use crate::graph::Text;
 use crate::graph::UnitKey;
 
-/// The share of what a far run costs more that is waited for a near place.
-const WAIT_FOR_NEAR: f64 = 0.5;
+/// The step in which workers' slowness is compared, a logarithm: 15%.
+const SLOWER: f64 = 0.15;
+/// The shortest time that a run is expected to take, in seconds.
+const LEAST_EXPECTED: f64 = 0.001;
 
 /// What a unit needs.
 #[derive(Clone, Debug)]
@@ -41,6 +44,8 @@
     pub past_kept: bool,
     /// How long it is expected to run.
     pub expected: Duration,
+    /// Whether it may not fail once more.
+    pub last: bool,
 }
 
 impl Request {
@@ -66,6 +71,7 @@
             ready: unit.ready,
             past_kept: false,
             expected,
+            last: entry.is_last(key),
         }
     }
 
@@ -96,6 +102,8 @@
     pub quota: u32,
     /// What speaks against it, the lower the better.
     pub doubt: usize,
+    /// How slow it is, in steps, where that counts.
+    pub slow: i64,
 }
 
 impl Candidate {
@@ -186,7 +194,7 @@
     /// Returns until when only racks will do where a unit is not slow.
     fn near_until(&self, request: &Request) -> Instant {
         let dear = request.expected.mul_f64((self.terms.far - 1.0).max(0.0));
-        let wait = dear.mul_f64(WAIT_FOR_NEAR);
+        let wait = dear.mul_f64(self.terms.policy.near);
         match self.mostly_idle(&request.pool) {
             true => request.ready + wait.min(LONGEST_IDLE),
             false => request.ready + wait,
@@ -207,8 +215,19 @@
                 self.has_leave(request, &worker.life, now.now)
             })
             .collect();
-        let sound = untried(request, sound);
+        let wary = self.terms.policy.probation && request.last;
+        let sound = untried(request, sound, wary);
         let spare = self.spare(request, &sound, now);
+        // Only to urgent work: what can wait goes wherever it fits best.
+        let overdue = (self.terms.policy.speeds && request.priority == 0)
+            .then(|| self.overdue(now));
+        let slow = |agent: &AgentId| {
+            overdue.as_ref().map_or(0, |overdue| {
+                let times = overdue.get(agent).copied();
+                let slowness = self.speeds.slowness(agent, times);
+                (slowness / SLOWER).round() as i64
+            })
+        };
         sound
             .into_iter()
             .filter(|(agent, _)| !spare.contains(*agent))
@@ -224,10 +243,35 @@
                 },
                 quota: self.quota(request, agent),
                 doubt: worker.health.doubt(),
+                slow: slow(agent),
             })
             .collect()
     }
 
+    /// Returns how many times longer than expected a run on each worker has
+    /// taken already.
+    fn overdue(&self, now: Moment) -> BTreeMap<&AgentId, f64> {
+        let mut overdue: BTreeMap<&AgentId, f64> = BTreeMap::new();
+        for entry in self.live() {
+            for (key, unit) in &entry.units {
+                if entry.job.steps[key.step].lasting {
+                    continue;
+                }
+                let runs =
+                    unit.members().filter(|m| m.state == State::Present);
+                for member in runs {
+                    let ran = now.now.saturating_duration_since(member.since);
+                    let expected = self.expect(entry, key.step);
+                    let times = ran.as_secs_f64()
+                        / expected.as_secs_f64().max(LEAST_EXPECTED);
+                    let most = overdue.entry(&member.place.agent).or_default();
+                    *most = most.max(times);
+                }
+            }
+        }
+        overdue
+    }
+
     pub(super) fn usable(
         &self,
         worker: &Worker,
@@ -266,20 +310,23 @@
     }
 }
 
-/// Leaves out the workers where a unit has failed, if the others could hold
-/// it; a unit that has waited while most is idle takes them all the same.
+/// Leaves out the workers where a unit has failed, and those in doubt where
+/// one is wary, if the others could hold it; a unit that has waited while most is idle takes them all the same.
 fn untried<'a>(
     request: &Request,
     sound: Vec<(&'a AgentId, &'a Worker)>,
+    wary: bool,
 ) -> Vec<(&'a AgentId, &'a Worker)> {
     let slots = |worker: &Worker| u64::from(request.slots(worker));
-    let tried = |agent: &AgentId| request.avoid.contains(agent);
-    let others = sound.iter().filter(|(agent, _)| !tried(agent));
+    let tried = |agent: &AgentId, worker: &Worker| {
+        request.avoid.contains(agent) || wary && worker.health.doubt() > 0
+    };
+    let others = sound.iter().filter(|(agent, w)| !tried(agent, w));
     let held: u64 = others.map(|(_, worker)| slots(worker)).sum();
     if request.past_kept || held < u64::from(request.width) {
         return sound;
     }
-    let others = sound.into_iter().filter(|(agent, _)| !tried(agent));
+    let others = sound.into_iter().filter(|(agent, w)| !tried(agent, w));
     others.collect()
 }
 
@@ -296,7 +343,7 @@
             .filter(|c| c.quota > 0 && c.free.holds(&request.charge))
             .min_by_key(|c| {
                 let left = c.free.minus(&request.charge);
-                (c.doubt, left.accelerators, left.cpu)
+                (c.doubt, c.slow, left.accelerators, left.cpu)
             })?;
         best.free = best.free.minus(&request.charge);
         best.quota -= 1;
--- /dev/null
+++ b/src/graph/policy.rs
@@ -0,0 +1,77 @@
+//! Decisions that may be made in more than one way, as one value.
+//!
+//! Whatever is chosen here, every promise holds; only how well callers are
+//! served differs. So one value can be switched off for a measurement.
+
+/// What the time that a run takes is told from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Prediction {
+    /// What its caller declares.
+    Declared,
+    /// The median of its queue's last runs.
+    Queue,
+    /// What is declared, as far as the queue's last runs bore it out, and
+    /// the runs of its own step.
+    Fitted,
+}
+
+impl std::str::FromStr for Prediction {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Prediction, ()> {
+        match text {
+            "declared" => Ok(Prediction::Declared),
+            "queue" => Ok(Prediction::Queue),
+            "fitted" => Ok(Prediction::Fitted),
+            _ => Err(()),
+        }
+    }
+}
+
+/// How decisions are made.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Policy {
+    /// The share of a pool's workers that work of priority 1 leaves empty
+    /// for urgent work; 0 leaves none.
+    pub spare: f64,
+    /// The share of what a far run costs more that is waited for a near
+    /// place; 0 waits for none.
+    pub near: f64,
+    /// The share of a pool's workers on which room is kept for units that
+    /// have waited; 0 keeps none.
+    pub kept: f64,
+    /// The most core-seconds that are thrown away for one urgent unit beyond
+    /// its account's guarantee. Of 30 to 1000, all earned the same.
+    pub most_lost: f64,
+    /// Whether room is kept at once for an urgent unit for which nothing is
+    /// stopped.
+    pub keep_urgent: bool,
+    /// What run times are told from.
+    pub prediction: Prediction,
+    /// Whether workers that fail are kept apart.
+    pub apart: bool,
+    /// Whether two failures of one job speak against their worker, and last
+    /// attempts are kept from workers in doubt.
+    pub probation: bool,
+    /// Whether urgent work prefers workers that are not slow.
+    pub speeds: bool,
+    /// Whether runs that make no progress are stopped.
+    pub stuck: bool,
+}
+
+impl Default for Policy {
+    fn default() -> Policy {
+        Policy {
+            spare: 0.12,
+            near: 0.5,
+            kept: 0.35,
+            most_lost: 120.0,
+            keep_urgent: false,
+            prediction: Prediction::Queue,
+            apart: true,
+            probation: false,
+            speeds: false,
+            stuck: true,
+        }
+    }
+}
--- a/src/graph/preempt.rs
+++ b/src/graph/preempt.rs
@@ -24,9 +24,6 @@
 
 /// The thousandths of a core that an accelerator's work counts as.
 const ACCELERATOR_CPU: i64 = 8000;
-/// The most core-seconds that are thrown away for one urgent unit beyond its
-/// account's guarantee. Of 300 and 120 the smaller earned a little more.
-const MOST_LOST: f64 = 120.0;
 /// The work of a checkpointing unit that a stop loses: from its last
 /// checkpoint, and resuming.
 const LOST_WITH_CHECKPOINT: Duration = Duration::from_millis(300);
@@ -68,10 +65,12 @@
         let Some(eviction) = best else {
             return false;
         };
-        if eviction.cost > MOST_LOST && !self.is_guaranteed(request) {
+        let most = self.terms.policy.most_lost;
+        if eviction.cost > most && !self.is_guaranteed(request) {
             return false;
         }
-        self.reserve(id, key, eviction.places, now);
+        let stopped = (eviction.victims.len(), eviction.cost);
+        self.reserve(id, key, eviction.places, stopped, now);
         for at in eviction.victims {
             let victim = &victims[at];
             self.stop_unit(&victim.id, &victim.key, Why::Preempted, now);
--- a/src/graph/reserve.rs
+++ b/src/graph/reserve.rs
@@ -19,10 +19,8 @@
 use crate::graph::Resources;
 use crate::graph::UnitKey;
 
-/// How long a unit waits before room is kept for it.
+/// How long a unit that is not urgent waits before room is kept for it.
 const PATIENCE: Duration = Duration::from_millis(1500);
-/// The share of a pool's workers on which room is kept at a time.
-const SHARE: f64 = 0.35;
 /// The share of its age that a run is expected to go on for at least.
 const OUTLIVED: f64 = 0.15;
 
@@ -43,12 +41,12 @@
         request: &Request,
         now: Moment,
     ) -> bool {
-        if now.now < request.ready + PATIENCE {
+        if request.priority > 0 && now.now < request.ready + PATIENCE {
             return false;
         }
         let workers = self.candidates(request, now).len();
         let kept = self.kept_workers(request);
-        let most = (workers as f64 * SHARE).ceil() as usize;
+        let most = (workers as f64 * self.terms.policy.kept).ceil() as usize;
         if kept.len() >= most {
             return false;
         }
@@ -60,7 +58,7 @@
         let Some((_, places)) = best else {
             return false;
         };
-        self.reserve(id, key, places, now);
+        self.reserve(id, key, places, (0, 0.0), now);
         true
     }
 
@@ -125,8 +123,7 @@
         member: &Member,
         now: Moment,
     ) -> Instant {
-        let step = &entry.job.steps[key.step];
-        let whole = self.history.expect(&entry.job.queue, step);
+        let whole = self.expect(entry, key.step);
         let ran = now.now.saturating_duration_since(member.since);
         // What has outlived its expectation goes on for a while yet.
         let left = whole.saturating_sub(ran).max(ran.mul_f64(OUTLIVED));
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -11,22 +11,26 @@
 use crate::graph::book::State;
 use crate::graph::book::Unit;
 use crate::graph::book::Why;
+use crate::graph::place::fill;
 use crate::graph::place::Request;
 use crate::graph::Book;
+use crate::graph::Decision;
 use crate::graph::Id;
-use crate::graph::Job;
+use crate::graph::Life;
 use crate::graph::Moment;
 use crate::graph::Place;
 use crate::graph::Resources;
-use crate::graph::Step;
 use crate::graph::Text;
 use crate::graph::UnitKey;
+use crate::graph::Wait;
 
 /// How long before a leaving worker is gone its tasks are stopped, so that
 /// their checkpoints are kept: a stop, and a report of it.
 const BEFORE_LEAVING: Duration = Duration::from_millis(1500);
 /// How long room is kept from a unit that waits while most is empty.
 pub(super) const LONGEST_IDLE: Duration = Duration::from_millis(2000);
+/// How long after it was told what a unit waits for is looked at again.
+const LOOK_AGAIN: Duration = Duration::from_millis(1000);
 /// The times of a job that may be open at once.
 const OPEN_TIMES: u32 = 64;
 
@@ -53,11 +57,49 @@
         for unit in self.waiting(now) {
             let like = (unit.id.clone(), unit.key.time, unit.key.step);
             if !without.contains(&like) && !self.try_place(&unit, now) {
+                self.tell_wait(&unit, now);
                 without.insert(like);
             }
         }
     }
 
+    /// Tells what a unit waits for, unless that was told already.
+    fn tell_wait(&mut self, waiting: &Waiting, now: Moment) {
+        let Some(entry) = self.jobs.get(&waiting.id) else {
+            return;
+        };
+        let Some(unit) = entry.units.get(&waiting.key) else {
+            return;
+        };
+        if unit.waits.is_some_and(|(_, at)| now.now < at + LOOK_AGAIN) {
+            return;
+        }
+        let expected = self.expect(entry, waiting.key.step);
+        let request = Request::new(entry, &waiting.key, unit, expected);
+        let candidates = self.candidates(&request, now);
+        let workers = candidates.len();
+        let what = match candidates.is_empty() {
+            true => Wait::Worker,
+            false if fill(&request, candidates).is_some() => Wait::Rack,
+            false => Wait::Room,
+        };
+        let news = unit.waits.is_none_or(|(told, _)| told != what);
+        let told = Decision::Waits {
+            of: entry.subject(&waiting.key),
+            what,
+            slack: self.slack(entry, &waiting.key, now),
+            workers,
+        };
+        let entry = self.jobs.get_mut(&waiting.id);
+        let unit = entry.and_then(|e| e.units.get_mut(&waiting.key));
+        if let Some(unit) = unit {
+            unit.waits = Some((what, now.now));
+        }
+        if news {
+            self.note(told);
+        }
+    }
+
     /// Opens the units whose time is due and whose steps are waited for no
     /// longer.
     fn open_units(&mut self, now: Moment) {
@@ -143,9 +185,7 @@
         let Some(unit) = entry.units.get(key) else {
             return;
         };
-        let expected = self
-            .history
-            .expect(&entry.job.queue, &entry.job.steps[key.step]);
+        let expected = self.expect(entry, key.step);
         let mut request = Request::new(entry, key, unit, expected);
         // While most is empty, whoever has waited longest takes of it, or
         // units would wait for each other's rooms.
@@ -221,15 +261,15 @@
     }
 
     /// Returns how soon a unit must go on.
-    fn urgency(
+    pub(super) fn urgency(
         &self,
         entry: &Entry,
         key: &UnitKey,
         now: Moment,
     ) -> (u8, Instant) {
         let job = &entry.job;
-        let chain = self.chain(job);
-        let objective = chain.mul_f64(job.stretch.max(1.0)) + job.target;
+        let chain = self.chain(entry);
+        let objective = self.objective(entry);
         // Of a job that runs several times, each time counts by itself.
         let late = job.due(key.time).duration_since(job.accepted);
         let due = entry.accepted + late.unwrap_or_default();
@@ -243,10 +283,10 @@
         (class, latest)
     }
 
-    /// Returns the longest chain of expected work through a job's steps.
-    pub(super) fn chain(&self, job: &Job) -> Duration {
-        let expected = |step: &Step| self.history.expect(&job.queue, step);
-        job.chain(expected)
+    /// Returns within which a job is to end, as far as its runs tell.
+    pub(super) fn objective(&self, entry: &Entry) -> Duration {
+        let stretch = entry.job.stretch.max(1.0);
+        self.chain(entry).mul_f64(stretch) + entry.job.target
     }
 
     /// Finds a place for a unit, or room to be kept for it; returns whether
@@ -258,8 +298,7 @@
         let Some(unit) = entry.units.get(&waiting.key) else {
             return false;
         };
-        let step = &entry.job.steps[waiting.key.step];
-        let expected = self.history.expect(&entry.job.queue, step);
+        let expected = self.expect(entry, waiting.key.step);
         let mut request = Request::new(entry, &waiting.key, unit, expected);
         request.past_kept = now.now >= unit.ready + LONGEST_IDLE
             && self.mostly_idle(&entry.job.pool);
@@ -268,7 +307,10 @@
             return true;
         }
         match request.priority {
-            0 => self.preempt(&waiting.id, &waiting.key, &request, now),
+            0 if self.preempt(&waiting.id, &waiting.key, &request, now) => {
+                true
+            }
+            0 if !self.terms.policy.keep_urgent => false,
             _ => self.keep_room(&waiting.id, &waiting.key, &request, now),
         }
     }
@@ -307,12 +349,24 @@
         let members = members(key, &places, State::Ordered(version), now);
         unit.phase = Phase::Running(members);
         unit.stop = None;
+        unit.waits = None;
+        let ready = unit.ready;
         self.touch(id);
         for place in &places {
             self.occupy(place, &charge);
         }
-        let lives: Vec<&str> = places.iter().map(|p| &*p.life).collect();
-        self.note(format!("unit {id}.{key} gets run {run} on {lives:?}"));
+        let Some(entry) = self.jobs.get(id) else {
+            return;
+        };
+        let placed = Decision::Placed {
+            of: entry.subject(key),
+            run,
+            on: lives(&places),
+            waited: now.now.saturating_duration_since(ready),
+            slack: self.slack(entry, key, now),
+            expected: self.expect(entry, key.step),
+        };
+        self.note(placed);
     }
 
     /// Keeps room for a unit that others are leaving.
@@ -321,11 +375,13 @@
         id: &str,
         key: &UnitKey,
         places: Vec<Place>,
+        (stopped, cost): (usize, f64),
         now: Moment,
     ) {
         let Some(entry) = self.jobs.get_mut(id) else {
             return;
         };
+        let of = entry.subject(key);
         let charge = entry.job.steps[key.step].charge();
         let Some(unit) = entry.units.get_mut(key) else {
             return;
@@ -336,10 +392,19 @@
             self.occupy(place, &charge);
             self.keep(place, &charge);
         }
-        self.note(format!("unit {id}.{key} reserves room"));
+        self.note(Decision::Kept {
+            of,
+            on: lives(&places),
+            stopped,
+            cost,
+        });
     }
 }
 
+fn lives(places: &[Place]) -> Vec<Life> {
+    places.iter().map(|place| place.life.clone()).collect()
+}
+
 fn members(
     key: &UnitKey,
     places: &[Place],
--- a/src/graph/settle.rs
+++ b/src/graph/settle.rs
@@ -7,6 +7,7 @@
 use crate::graph::book::Why;
 use crate::graph::AgentId;
 use crate::graph::Book;
+use crate::graph::Decision;
 use crate::graph::How;
 use crate::graph::Id;
 use crate::graph::Moment;
@@ -30,6 +31,27 @@
     Gone,
 }
 
+impl End {
+    /// Returns the word for it in logs.
+    fn word(self) -> &'static str {
+        match self {
+            End::Listed(How::Done) => "done",
+            End::Listed(How::Failed) => "failed",
+            End::Listed(How::Stopped) => "stopped",
+            End::Listed(How::Lapsed) => "lease ran out",
+            End::Listed(How::Broken) => "another member ended",
+            End::Listed(How::Alone) => "other members did not come",
+            End::Never(Refusal::Barred) => "never began",
+            End::Never(Refusal::Room) => "refused: no room",
+            End::Never(Refusal::Leaving) => "refused: worker leaving",
+            End::Never(Refusal::Unhealthy) => "refused: worker unhealthy",
+            End::Never(Refusal::Invalid) => "refused: order invalid",
+            End::Never(Refusal::Ticket) => "refused: leave ran out",
+            End::Gone => "worker gone",
+        }
+    }
+}
+
 impl Book {
     /// Takes in how a member's run ended, and moves its unit on.
     pub(super) fn end_member(
@@ -45,6 +67,7 @@
         };
         let charge = entry.job.steps[key.step].charge();
         let job = entry.job.id.clone();
+        let of = entry.subject(key);
         let from = entry.progress.units.get(key);
         let whole = from.is_some_and(|kept| kept.from.is_empty());
         let Some(unit) = entry.units.get_mut(key) else {
@@ -75,7 +98,6 @@
             }
             _ => {}
         }
-        let queue = entry.job.queue.clone();
         let kept = entry.progress.units.entry(*key).or_default();
         let run = kept.run;
         // Counted at once, whatever becomes of the other members: the end
@@ -86,28 +108,65 @@
             self.touch(id);
         }
         if let Some(ran) = learnt {
-            self.history.learn(&queue, ran);
+            self.learn(&job, key, &place, ran);
         }
-        self.note(format!(
-            "task {id}.{key}/{at} run {run} at {} {}: {end:?}",
-            place.agent, place.life
-        ));
+        self.note(Decision::Ended {
+            of,
+            run,
+            member: at,
+            life: place.life.clone(),
+            how: end.word(),
+            ran: now.now.saturating_duration_since(since),
+        });
         self.vacate(&place, &charge);
         if end == End::Never(Refusal::Ticket) {
             self.drop_ticket(&(job.clone(), key.time, key.step), &place.life);
         }
-        self.judge(&place, &job, end, stopped, now);
+        self.judge(&place, &job, key, end, stopped, now);
         self.settle_unit(id, key, now);
     }
 
+    /// Takes note of how long a whole run took.
+    fn learn(&mut self, id: &Id, key: &UnitKey, place: &Place, ran: Duration) {
+        let Some(entry) = self.jobs.get(id) else {
+            return;
+        };
+        let step = &entry.job.steps[key.step];
+        // A gang goes at the pace of its slowest, and a far run is slow by
+        // itself: neither tells of the worker.
+        let alone = !step.gang && step.data_rack.is_none();
+        let expected = self.expect(entry, key.step).as_secs_f64();
+        let (queue, declared) = (entry.job.queue.clone(), step.estimate);
+        if alone && expected > 0.0 {
+            let times = ran.as_secs_f64() / expected;
+            self.speeds.learn(&place.agent, times);
+        }
+        self.history.learn(&queue, declared, ran);
+        if let Some(entry) = self.jobs.get_mut(id) {
+            entry.ran.entry(key.step).or_default().push(ran);
+        }
+    }
+
+    /// Returns whether a job has failed on no other worker.
+    fn failed_only(&self, id: &str, agent: &AgentId) -> bool {
+        self.jobs.get(id).is_some_and(|entry| {
+            let avoided = entry.units.values().flat_map(|unit| &unit.avoid);
+            avoided.into_iter().all(|other| other == agent)
+        })
+    }
+
     fn judge(
         &mut self,
         place: &Place,
         job: &Id,
+        key: &UnitKey,
         end: End,
         stopped: Option<Why>,
         now: Moment,
     ) {
+        let policy = self.terms.policy;
+        let only_here =
+            policy.probation && self.failed_only(job, &place.agent);
         let Some(worker) = self.workers.get_mut(&place.agent) else {
             return;
         };
@@ -116,7 +175,10 @@
                 worker.health.done();
                 false
             }
-            End::Listed(How::Failed) => worker.health.failed(job, now.now),
+            _ if !policy.apart => false,
+            End::Listed(How::Failed) => {
+                worker.health.failed(job, key, only_here, now.now)
+            }
             End::Never(Refusal::Unhealthy) => worker.health.stuck(now.now),
             End::Listed(_) if stopped == Some(Why::Stuck) => {
                 worker.health.stuck(now.now)
@@ -124,7 +186,12 @@
             _ => false,
         };
         if apart {
-            self.note(format!("worker {} is kept apart", place.life));
+            let told = Decision::Apart {
+                life: place.life.clone(),
+                time: worker.health.apart_for(now.now),
+                failed: worker.health.doubt(),
+            };
+            self.note(told);
         }
     }
 
@@ -199,6 +266,8 @@
         let Some(entry) = self.jobs.get_mut(id) else {
             return;
         };
+        let of = entry.subject(key);
+        let run = entry.progress.units.get(key).map_or(0, |kept| kept.run);
         let Some(unit) = entry.units.get_mut(key) else {
             return;
         };
@@ -211,7 +280,11 @@
                 let agents: Vec<AgentId> =
                     unit.members().map(|m| m.place.agent.clone()).collect();
                 self.stirred.extend(agents);
-                self.note(format!("unit {id}.{key} is stopped: {why:?}"));
+                self.note(Decision::Stopped {
+                    of,
+                    run,
+                    why: why.word(),
+                });
                 self.end_unhanded(id, key, now);
             }
             _ => {}
--- a/src/graph/spare.rs
+++ b/src/graph/spare.rs
@@ -16,10 +16,6 @@
 use crate::graph::Resources;
 use crate::graph::Text;
 
-/// The share of a pool's workers that work of priority 1 leaves empty for
-/// urgent work, which would else wait for stops, longer than short work may;
-/// work of priority 2 leaves twice that, and so on.
-const SPARE: f64 = 0.12;
 /// The most that is left.
 const MOST_SPARE: f64 = 0.3;
 /// How long after the last urgent job that is so.
@@ -34,7 +30,8 @@
         sound: &[(&AgentId, &Worker)],
         now: Moment,
     ) -> BTreeSet<AgentId> {
-        let share = (SPARE * f64::from(request.priority)).min(MOST_SPARE);
+        let share = (self.terms.policy.spare * f64::from(request.priority))
+            .min(MOST_SPARE);
         let most = (sound.len() as f64 * share) as usize;
         let urgent = self
             .urgent
