Send no write into an outage, and let one look serve all that wait

Change: cell::reach holds what the process's calls have shown of the way to the store. What waits looks by a read first, one look for all, and only then writes: until a write of its own is unanswered, a caller can be told a true 503. An entry that has just started, or whose keys are too old, waits as long for the store instead of refusing at once.

--- a/src/cell/admission.rs
+++ b/src/cell/admission.rs
@@ -10,6 +10,7 @@
 
 use crate::cell::keys;
 use crate::cell::pause;
+use crate::cell::reach::Reach;
 use crate::graph;
 use crate::graph::Id;
 use crate::graph::Job;
@@ -70,6 +71,8 @@
 #[derive(Clone, Debug)]
 pub struct Admission<S> {
     store: S,
+    reach: Reach,
+    patience: Duration,
     /// Jobs whose write had no answer here, and when.
     unsure: Arc<Mutex<HashMap<Id, Instant>>>,
     log: slog::Logger,
@@ -80,11 +83,25 @@
     pub fn new(store: S, log: slog::Logger) -> Admission<S> {
         Admission {
             store,
+            reach: Reach::new(),
+            patience: PATIENCE,
             unsure: Arc::default(),
             log,
         }
     }
 
+    /// Sets how long a submission waits for the store.
+    #[must_use]
+    pub fn with_patience(self, patience: Duration) -> Admission<S> {
+        Admission { patience, ..self }
+    }
+
+    /// Returns what is known of the way to the store, to be told of other
+    /// calls as well.
+    pub fn reach(&self) -> Reach {
+        self.reach.clone()
+    }
+
     /// Keeps a job, unless it is kept already. Half of the time until the
     /// deadline is spent on it at most: the caller then still has time to
     /// ask again under the same name, through another entry.
@@ -117,37 +134,30 @@
             Put::Value(key, value, 0),
             Put::Value(keys::waits(&job.queue, &job.id), Vec::new(), 0),
         ];
-        let patience = (began + PATIENCE).min(deadline);
         loop {
-            let swap = self.store.swap(&absent, puts.clone());
-            let until = match self.is_unsure(&job.id) {
+            let unsure = self.is_unsure(&job.id);
+            let until = match unsure {
                 true => deadline,
-                false => patience,
+                false => (began + self.patience).min(deadline),
             };
+            if !self.reach.wait(&self.store, until).await {
+                return match unsure {
+                    true => Submitted::Unsure,
+                    false => Submitted::Refused,
+                };
+            }
+            let swap = self.store.swap(&absent, puts.clone());
             match tokio::time::timeout_at(deadline, swap).await {
                 Ok(Ok(Swap::Written(_) | Swap::Refused(_))) => {
                     return Submitted::Accepted;
                 }
-                Ok(Err(Error::Unreached(_)))
-                    if Instant::now() + AGAIN * 2 < until => {}
                 Ok(Err(Error::Unreached(error))) => {
                     slog::warn!(self.log, "entry: the store turns a job away";
                         "job" => &*job.id, "error" => %error);
-                    return match self.is_unsure(&job.id) {
-                        true => Submitted::Unsure,
-                        false => Submitted::Refused,
-                    };
-                }
-                Ok(Err(Error::Lost(_) | Error::Forgotten(_)))
-                    if Instant::now() + AGAIN * 2 < deadline =>
-                {
-                    self.set_unsure(&job.id);
-                }
-                Ok(Err(_)) | Err(_) => {
-                    self.set_unsure(&job.id);
-                    return Submitted::Unsure;
                 }
+                Ok(Err(_)) | Err(_) => self.set_unsure(&job.id),
             }
+            self.reach.set(false);
             pause(AGAIN).await;
         }
     }
--- a/src/cell/configuration.rs
+++ b/src/cell/configuration.rs
@@ -8,9 +8,11 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::cell::pause;
+use crate::cell::reach::Reach;
 use crate::graph::Advice;
 use crate::graph::Text;
 use crate::store::Item;
@@ -94,6 +96,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Source {
     known: Arc<Mutex<Known>>,
+    /// Told of each read that showed it to be current.
+    news: Arc<Notify>,
 }
 
 impl Source {
@@ -117,6 +121,38 @@
         }
     }
 
+    /// Returns the configuration, waiting for one if need be.
+    pub async fn current_by(
+        &self,
+        until: Instant,
+    ) -> Option<Arc<Configuration>> {
+        self.wait(|| self.current(), until).await
+    }
+
+    /// Returns the configuration if it was current at most `age` ago,
+    /// waiting for that if need be.
+    pub async fn fresh_by(
+        &self,
+        age: Duration,
+        until: Instant,
+    ) -> Option<Arc<Configuration>> {
+        self.wait(|| self.fresh(age), until).await
+    }
+
+    async fn wait<T>(
+        &self,
+        known: impl Fn() -> Option<T>,
+        until: Instant,
+    ) -> Option<T> {
+        loop {
+            let news = self.news.notified();
+            if let Some(known) = known() {
+                return Some(known);
+            }
+            tokio::time::timeout_at(until, news).await.ok()?;
+        }
+    }
+
     /// Returns whether the store was reached lately: without it nothing can
     /// be accepted here, and callers are better off elsewhere.
     pub fn in_touch(&self) -> bool {
@@ -133,6 +169,7 @@
         store: impl Store,
         key: &str,
         decode: impl Fn(&[u8]) -> Result<Configuration, E>,
+        reach: Reach,
         log: slog::Logger,
     ) {
         let mut reached = true;
@@ -142,6 +179,7 @@
             let failed = match get.await {
                 Ok(Ok(item)) => {
                     self.take(item, sent, &decode, &log);
+                    self.news.notify_waiters();
                     None
                 }
                 Ok(Err(error)) => Some(error.to_string()),
@@ -156,6 +194,7 @@
                 _ => {}
             }
             reached = failed.is_none();
+            reach.set(reached);
             match reached {
                 true => tokio::time::sleep(EVERY).await,
                 false => pause(AGAIN).await,
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -17,6 +17,7 @@
 pub mod keys;
 pub mod member;
 pub mod planner;
+pub mod reach;
 pub mod rpc;
 pub mod session;
 mod teller;
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -17,6 +17,7 @@
 mod plan_predict;
 mod plan_property;
 mod promises;
+mod reach;
 mod replay;
 mod session;
 mod settings;
