Give no work to a deaf worker, and believe a broken gang

An agent now says so once two looks in a row had no answer, and the planner gives nothing there. * When a worker is taken away at short notice, the other members of a gang end as broken at once, but the unit waited 12.8 s for the leases at the silent one: four urgent gangs stood from 12.3 to 27.6 s. The platform says broken only where another member has ended; where just one worker is left unheard of, it was there, and the run is over.

Tests seen to fail without: cell::a_worker_that_answers_no_calls_gets_no_new_work, broken::a_gang_begins_anew_though_the_worker_that_broke_it_says_nothing; three more hold what must still be waited for.

--- a/src/cell/member/look.rs
+++ b/src/cell/member/look.rs
@@ -94,8 +94,9 @@
                 known.shows_life(now);
             }
         } else if self.lock().unanswered(now) {
-            slog::warn!(self.0.config.log, "agent: the worker is lost";
-                "error" => %error);
+            slog::warn!(self.0.config.log,
+                "agent: the worker does not answer"; "error" => %error,
+                "life" => &*plan.call.life);
             self.0.news.notify_one();
         }
         pause(AGAIN).await;
--- a/src/cell/member/state.rs
+++ b/src/cell/member/state.rs
@@ -28,6 +28,9 @@
 const LEASE_SLACK: Duration = Duration::from_millis(400);
 /// For how long a worker must not answer before its life is taken for over.
 const SILENT: Duration = Duration::from_millis(1500);
+/// How many looks in a row must have no answer before a worker counts as
+/// deaf: one may be lost with its connection.
+const DEAF: u32 = 2;
 /// The least rest of a grant under which a task is still started.
 const LEAST_LEASE: Duration = Duration::from_millis(400);
 
@@ -71,6 +74,8 @@
     pub stops: BTreeSet<Key>,
     pub progress: BTreeMap<Key, Progress>,
     pub answered: Instant,
+    /// How many looks in a row had no answer, whatever its heartbeats say.
+    pub unanswered: u32,
     /// Until when, at most, what runs may go on.
     pub leased: Option<Instant>,
     /// When its life is taken for over.
@@ -246,27 +251,32 @@
             return false;
         }
         known.shows_life(now);
+        let heard = known.is_deaf();
+        known.unanswered = 0;
         known.clock = Some((look.time, now));
-        let new = known
-            .lists
-            .as_ref()
-            .is_none_or(|lists| runs(lists) != runs(&look.lists));
+        let new = heard
+            || known
+                .lists
+                .as_ref()
+                .is_none_or(|lists| runs(lists) != runs(&look.lists));
         known.lists = Some(look.lists);
         known.confirm(plan.number) || new
     }
 
-    /// Takes in that a look had no answer; returns whether the worker's
-    /// life has come to its end by that.
+    /// Takes in that a look had no answer; returns whether that is news: the
+    /// worker now counts as deaf, or its life has come to its end.
     pub fn unanswered(&mut self, now: Instant) -> bool {
         let Some(known) = &mut self.worker else {
             return false;
         };
+        known.unanswered = known.unanswered.saturating_add(1);
+        let deaf = known.unanswered == DEAF;
         let lapsed = known.leased.is_none_or(|l| now > l + LEASE_SLACK);
         let over = known.over.is_none() && lapsed && known.is_silent(now);
         if over {
             known.over = Some(now);
         }
-        over
+        over || deaf
     }
 }
 
@@ -291,6 +301,7 @@
             stops: BTreeSet::new(),
             progress: BTreeMap::new(),
             answered: now,
+            unanswered: 0,
             // An earlier life of this process may have leased so long.
             leased: Some(now + lease),
             over: None,
@@ -303,6 +314,12 @@
         self.over = self.over.filter(|_| self.beat.leaving);
     }
 
+    /// Returns whether the worker answers no calls, though it may well send
+    /// heartbeats: what is ordered there would not begin.
+    pub fn is_deaf(&self) -> bool {
+        self.unanswered >= DEAF
+    }
+
     /// Returns whether the worker has not answered for long.
     pub fn is_silent(&self, now: Instant) -> bool {
         now > self.answered + SILENT
@@ -414,7 +431,7 @@
             labels: self.beat.labels.clone(),
             capacity: self.beat.capacity,
             leaving: self.beat.leaving,
-            silent: self.is_silent(now),
+            silent: self.is_silent(now) || self.is_deaf(),
             remaining_ms: remaining.map(|ms| ms as u64),
             lists,
             refused: refused.collect(),
--- a/src/graph/book.rs
+++ b/src/graph/book.rs
@@ -192,6 +192,17 @@
     }
 }
 
+/// What the ended members of a gang's run tell of why it broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Cause {
+    /// None has ended.
+    Open,
+    /// Another one ended before them: one that has not been heard of.
+    Hidden,
+    /// One of them is the cause.
+    Known,
+}
+
 /// What is placed and started as one.
 #[derive(Clone, Debug)]
 pub(super) struct Unit {
@@ -206,6 +217,8 @@
     /// What it was last seen to wait for, and when.
     pub waits: Option<(Wait, Instant)>,
     pub any_done: bool,
+    /// What is known of why its run broke.
+    pub cause: Cause,
 }
 
 impl Unit {
@@ -218,6 +231,7 @@
             stop: None,
             waits: None,
             any_done: false,
+            cause: Cause::Open,
         }
     }
 
--- a/src/graph/loss.rs
+++ b/src/graph/loss.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::graph::book::Cause;
 use crate::graph::book::Member;
 use crate::graph::book::Phase;
 use crate::graph::book::State;
@@ -87,6 +88,54 @@
         }
     }
 
+    /// Takes the runs of gangs for over whose members all tell that another
+    /// one ended, but for those on one worker that is not heard of: it was
+    /// there. Else the gang would wait until that worker's leases surely
+    /// have run out, 13 s; a worker taken away at short notice is the usual
+    /// case.
+    pub(super) fn end_broken(&mut self, now: Moment) {
+        if !self.terms.policy.broken_tells {
+            return;
+        }
+        let mut over = Vec::new();
+        for entry in self.live() {
+            for (key, unit) in &entry.units {
+                if unit.cause != Cause::Hidden || !self.is_hidden(unit, now) {
+                    continue;
+                }
+                let Phase::Running(members) = &unit.phase else {
+                    continue;
+                };
+                let left = members.iter().enumerate();
+                let left = left.filter(|(_, m)| m.state != State::Ended);
+                over.extend(
+                    left.map(|(at, _)| (entry.job.id.clone(), *key, at)),
+                );
+            }
+        }
+        for (id, key, at) in over {
+            self.end_member(&id, &key, at, End::Gone, now);
+        }
+    }
+
+    /// Returns whether what is left of a unit's run began on one worker that
+    /// nothing is heard of.
+    fn is_hidden(&self, unit: &Unit, now: Moment) -> bool {
+        let mut left = unit.members();
+        let Some(first) = left.next() else {
+            return false;
+        };
+        let worker = self
+            .workers
+            .get(&first.place.agent)
+            .filter(|worker| worker.life == first.place.life);
+        let heard = worker.map_or(self.began, |worker| worker.granted);
+        now.now >= heard + self.terms.contact
+            && first.state == State::Present
+            && left
+                .all(|m| m.place == first.place && m.state == State::Present)
+    }
+
     /// Stops the runs that make no progress.
     pub(super) fn stop_stuck(&mut self, now: Moment) {
         if !self.terms.policy.stuck {
--- a/src/graph/policy.rs
+++ b/src/graph/policy.rs
@@ -55,6 +55,9 @@
     pub probation: bool,
     /// Whether urgent work prefers workers that are not slow.
     pub speeds: bool,
+    /// Whether a gang's run is taken for over at the one worker that is not
+    /// heard of, once the other members tell that one has ended.
+    pub broken_tells: bool,
     /// Whether runs that make no progress are stopped.
     pub stuck: bool,
 }
@@ -71,6 +74,7 @@
             apart: true,
             probation: false,
             speeds: false,
+            broken_tells: true,
             stuck: true,
         }
     }
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::graph::book::Cause;
 use crate::graph::book::Entry;
 use crate::graph::book::Member;
 use crate::graph::book::Phase;
@@ -48,6 +49,7 @@
     /// Decides what is to be started and stopped now.
     pub fn step(&mut self, now: Moment) {
         self.lose_silent(now);
+        self.end_broken(now);
         self.stop_stuck(now);
         self.leave(now);
         self.open_units(now);
@@ -350,6 +352,7 @@
         unit.phase = Phase::Running(members);
         unit.stop = None;
         unit.waits = None;
+        unit.cause = Cause::Open;
         let ready = unit.ready;
         self.touch(id);
         for place in &places {
--- a/src/graph/settle.rs
+++ b/src/graph/settle.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::graph::book::Cause;
 use crate::graph::book::Phase;
 use crate::graph::book::State;
 use crate::graph::book::Why;
@@ -81,6 +82,14 @@
         let place = member.place.clone();
         let since = member.since;
         let stopped = unit.stop;
+        unit.cause = match (unit.cause, end) {
+            (Cause::Open, End::Listed(How::Broken)) => Cause::Hidden,
+            // Stopped by us, after the run broke.
+            (Cause::Hidden, End::Listed(How::Broken | How::Stopped)) => {
+                Cause::Hidden
+            }
+            _ => Cause::Known,
+        };
         let mut failed = false;
         let mut learnt = None;
         match end {
--- /dev/null
+++ b/tests/it/broken.rs
@@ -0,0 +1,102 @@
+//! Gangs whose members tell that another one has ended.
+
+use std::time::Duration;
+
+use landingvalve::graph::How;
+
+use crate::graph::job;
+use crate::graph::step;
+use crate::graph::Site;
+
+const SIX: &[(&str, &str)] = &[
+    ("w1", "r1"),
+    ("w2", "r1"),
+    ("w3", "r1"),
+    ("w4", "r2"),
+    ("w5", "r2"),
+    ("w6", "r2"),
+];
+
+/// Passes time in steps that keep every agent in touch.
+fn pass(site: &mut Site, time: Duration) {
+    let tick = Duration::from_millis(500);
+    for _ in 0..time.as_millis() / tick.as_millis() {
+        site.pass(tick);
+        site.settle();
+    }
+}
+
+/// Starts a gang of three whole workers in one rack; returns the site and
+/// which workers it is on.
+fn gang() -> (Site, Vec<usize>) {
+    let mut site = Site::new(SIX);
+    site.submit(job("gang", 1, vec![step(3, 8, true)], &site));
+    site.settle();
+    assert_eq!(site.running("gang"), 3);
+    let on = |at: &usize| !site.workers[*at].running.is_empty();
+    let on: Vec<usize> = (0..6).filter(on).collect();
+    (site, on)
+}
+
+/// Ends the gang's run on some workers.
+fn end(site: &mut Site, on: &[usize], how: How) {
+    for at in on {
+        site.workers[*at].end(how, |_| true);
+    }
+}
+
+#[test]
+fn a_gang_begins_anew_though_the_worker_that_broke_it_says_nothing() {
+    let (mut site, on) = gang();
+    // One worker is taken away; the others tell that a member has ended.
+    let gone = site.workers.remove(on[2]);
+    end(&mut site, &on[..2], How::Broken);
+    pass(&mut site, Duration::from_secs(4));
+    assert_eq!(site.running("gang"), 3, "begun anew within 4 s");
+    // Should it come back, what it tells of that run counts no more.
+    let mut back = gone;
+    back.end(How::Done, |_| true);
+    site.workers.push(back);
+    site.settle();
+    assert_eq!(site.outcome("gang"), None);
+}
+
+#[test]
+fn a_gang_waits_for_a_silent_worker_while_another_cause_is_known() {
+    let (mut site, on) = gang();
+    site.workers.remove(on[2]);
+    // The first has failed: the silent one may well be running yet.
+    end(&mut site, &on[..1], How::Failed);
+    site.settle();
+    end(&mut site, &on[1..2], How::Broken);
+    pass(&mut site, Duration::from_secs(8));
+    assert_eq!(site.running("gang"), 0, "its leases have not run out");
+    pass(&mut site, Duration::from_secs(7));
+    assert_eq!(site.running("gang"), 3);
+}
+
+#[test]
+fn a_gang_waits_for_two_silent_workers() {
+    let (mut site, on) = gang();
+    site.workers.remove(on[2]);
+    site.workers.remove(on[1]);
+    // One of the two has ended; the other may be running yet.
+    end(&mut site, &on[..1], How::Broken);
+    pass(&mut site, Duration::from_secs(8));
+    assert_eq!(site.running("gang"), 0, "their leases have not run out");
+}
+
+#[test]
+fn a_gang_waits_for_a_worker_that_is_merely_late_with_its_report() {
+    let (mut site, on) = gang();
+    let late = site.workers.remove(on[2]);
+    end(&mut site, &on[..2], How::Broken);
+    pass(&mut site, Duration::from_secs(1));
+    assert_eq!(site.running("gang"), 0, "it may tell yet how it ended");
+    let mut late = late;
+    late.end(How::Done, |_| true);
+    site.workers.push(late);
+    site.settle();
+    pass(&mut site, Duration::from_secs(3));
+    assert_eq!(site.running("gang"), 0, "it was done after all");
+}
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -274,6 +274,11 @@
 struct Tasks {
     /// Whether it says nothing any more.
     mute: bool,
+    /// Whether it breaks off every call, though its heartbeats go on.
+    deaf: bool,
+    /// How many calls it has broken off, and how many of them were starts.
+    broken_off: u32,
+    starts_broken_off: u32,
     /// How many starts are not answered, and may be carried out later.
     late: u32,
     /// Whether it has no room.
@@ -324,10 +329,18 @@
     }
 
     /// Returns unless the worker is mute.
-    async fn speak(&self) {
+    async fn speak(&self) -> Result<(), worker::Error> {
         if self.lock().mute {
             std::future::pending::<()>().await;
         }
+        let mut tasks = self.lock();
+        match tasks.deaf {
+            true => {
+                tasks.broken_off += 1;
+                Err(worker::Error::Lost("reset".to_owned()))
+            }
+            false => Ok(()),
+        }
     }
 
     fn end_all(&self, how: How) {
@@ -357,7 +370,10 @@
         start: &Start,
         _expires: WorkerTime,
     ) -> Result<WorkerTime, worker::Error> {
-        self.speak().await;
+        if self.lock().deaf {
+            self.lock().starts_broken_off += 1;
+        }
+        self.speak().await?;
         {
             let mut tasks = self.fenced(call)?;
             if tasks.late > 0 {
@@ -396,7 +412,7 @@
         call: &Call,
         stop: &Stop,
     ) -> Result<WorkerTime, worker::Error> {
-        self.speak().await;
+        self.speak().await?;
         let mut tasks = self.fenced(call)?;
         let same = |r: &Running| r.task == stop.task && r.run == stop.run;
         let at = tasks.running.iter().position(same);
@@ -413,7 +429,7 @@
         call: &Call,
         pace: &Pace,
     ) -> Result<WorkerTime, worker::Error> {
-        self.speak().await;
+        self.speak().await?;
         let mut tasks = self.fenced(call)?;
         for running in &mut tasks.running {
             if running.task == pace.task && running.run == pace.run {
@@ -430,7 +446,7 @@
         _expires: Option<WorkerTime>,
         wait: Duration,
     ) -> Result<Look, worker::Error> {
-        self.speak().await;
+        self.speak().await?;
         let deadline = Instant::now() + wait.min(Duration::from_millis(50));
         loop {
             {
@@ -500,6 +516,9 @@
     }
 }
 
+/// How often a worker sends a heartbeat.
+const BEAT: Duration = Duration::from_millis(300);
+
 fn agent(store: &Memory, worker: &Fake) -> JoinHandle<()> {
     agent_of("agent", Duration::from_secs(6), store, worker)
 }
@@ -518,9 +537,26 @@
         log: log::none(),
     };
     let member = Member::new(config, worker.clone(), store.clone());
-    member.heartbeat(Heartbeat {
+    member.heartbeat(heartbeat(worker, 1));
+    let worker = worker.clone();
+    tokio::spawn(async move {
+        let beats = async {
+            let mut beat = tokio::time::interval(BEAT);
+            for sequence in 2.. {
+                beat.tick().await;
+                if !worker.lock().mute {
+                    member.heartbeat(heartbeat(&worker, sequence));
+                }
+            }
+        };
+        tokio::join!(member.run(), beats);
+    })
+}
+
+fn heartbeat(worker: &Fake, sequence: u64) -> Heartbeat {
+    Heartbeat {
         life: "life-1".into(),
-        sequence: 1,
+        sequence,
         pool: "pool".into(),
         machine: None,
         hall: "hall".into(),
@@ -534,8 +570,7 @@
         leaving: false,
         remaining: None,
         time: Some(worker.time()),
-    });
-    tokio::spawn(async move { member.run().await })
+    }
 }
 
 fn job(id: &str) -> Job {
@@ -758,3 +793,33 @@
     agent.abort();
     entry.kill();
 }
+
+#[tokio::test]
+async fn a_worker_that_answers_no_calls_gets_no_new_work() {
+    let store = Memory::default();
+    let (deaf, other) = (Fake::new(), Fake::new());
+    let admission = Admission::new(store.clone(), log::none());
+    let entry = Entry::start("entry", &store).await;
+    let lease = Duration::from_secs(6);
+    let first = agent_of("first", lease, &store, &deaf);
+    admission.submit(&job("a"), soon()).await;
+    runs(&deaf, 2).await;
+    deaf.end_all(How::Done);
+    reaches(&admission, "a", DONE).await;
+    // It breaks off all calls from now on; its heartbeats go on.
+    deaf.lock().deaf = true;
+    let noticed = || async { (deaf.lock().broken_off >= 4).then_some(()) };
+    until("its agent notices", noticed).await;
+    let second = agent_of("second", lease, &store, &other);
+    admission.submit(&job("b"), soon()).await;
+    runs(&other, 2).await;
+    assert_eq!(deaf.lock().starts_broken_off, 0, "work for a deaf worker");
+    // Once it answers again it is as good as any other.
+    other.lock().full = true;
+    deaf.lock().deaf = false;
+    admission.submit(&job("c"), soon()).await;
+    runs(&deaf, 2).await;
+    first.abort();
+    second.abort();
+    entry.kill();
+}
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod advice;
+mod broken;
 mod cell;
 mod examples;
 mod gang_steps;
