Explain what became of a job from the logs alone

Cause: on call there are only logs; finding why one job was late took a script of one's own over text lines.

A collector's prefix before the object is passed over. The cause is the dearest of what the unit that ended last went through.

Tests: data-driven logs for each cause; the lines of real processes in memory; a burst of 900 units, of which every end is told.

--- a/crates/landingvalve-cli/src/main.rs
+++ b/crates/landingvalve-cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod configuration;
+mod explain;
 mod job;
 mod out;
 mod picture;
@@ -24,6 +25,7 @@
 ///   landingvalve job submit replay --set run_ms=500 --wait
 ///   landingvalve config show templates replay
 ///   landingvalve status --json
+///   landingvalve explain --late entry-*.log
 #[derive(Parser)]
 #[command(name = "landingvalve", version, verbatim_doc_comment)]
 struct Args {
@@ -70,6 +72,8 @@
     Config(configuration::Command),
     /// Show cells, workers, guarantees and who lags.
     Status,
+    /// Tell from logs alone what became of a job, or of many.
+    Explain(explain::Args),
     /// Print completions for a shell.
     Completions {
         /// The shell.
@@ -99,6 +103,7 @@
             configuration::run(&client, command, json).await
         }
         Command::Status => status::run(&client, json).await,
+        Command::Explain(args) => explain::run(&args, json),
         Command::Completions { shell } => {
             let mut command = Args::command();
             let out = &mut std::io::stdout();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 //! * [`graph`] decides about jobs of steps, and [`cell`] carries that out on
 //!   any [`store::Store`]; `landingvalve-platform` brings both to the users'
 //!   platform. The two cores are to become one.
+//! * [`explain`] tells from their logs what became of a job.
 //! * [`settings`], [`log`] and [`telemetry`] make programs of it all.
 //!
 //! # Deciding
@@ -104,6 +105,7 @@
 pub mod config;
 pub mod endpoint;
 pub mod entry;
+pub mod explain;
 pub mod graph;
 pub mod http;
 pub mod job;
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -293,13 +293,13 @@
 
 /// A worker whose tasks end when told.
 #[derive(Clone)]
-struct Fake {
+pub struct Fake {
     tasks: Arc<Mutex<Tasks>>,
     started: Instant,
 }
 
 impl Fake {
-    fn new() -> Fake {
+    pub fn new() -> Fake {
         Fake {
             tasks: Arc::default(),
             started: Instant::now(),
@@ -343,7 +343,7 @@
         }
     }
 
-    fn end_all(&self, how: How) {
+    pub fn end_all(&self, how: How) {
         let mut tasks = self.lock();
         for running in std::mem::take(&mut tasks.running) {
             end(&mut tasks, running, how);
@@ -469,7 +469,7 @@
 }
 
 /// An entry's planner.
-struct Entry {
+pub struct Entry {
     stop: watch::Sender<bool>,
     planning: JoinHandle<()>,
     _server: ServerHandle,
@@ -477,6 +477,14 @@
 
 impl Entry {
     async fn start(name: &str, store: &Memory) -> Entry {
+        Entry::logged(name, store, log::none()).await
+    }
+
+    pub async fn logged(
+        name: &str,
+        store: &Memory,
+        log: slog::Logger,
+    ) -> Entry {
         let host = Host::new();
         let server = Server::builder()
             .build("127.0.0.1:0")
@@ -495,7 +503,7 @@
             source: Source::new(),
             advice: None,
             terms: Terms::default(),
-            log: log::none(),
+            log,
         };
         let (stop, stopped) = watch::channel(false);
         Entry {
@@ -506,7 +514,7 @@
     }
 
     /// Ends at once, without giving its claim back.
-    fn kill(self) {
+    pub fn kill(self) {
         self.planning.abort();
     }
 
@@ -519,7 +527,7 @@
 /// How often a worker sends a heartbeat.
 const BEAT: Duration = Duration::from_millis(300);
 
-fn agent(store: &Memory, worker: &Fake) -> JoinHandle<()> {
+pub fn agent(store: &Memory, worker: &Fake) -> JoinHandle<()> {
     agent_of("agent", Duration::from_secs(6), store, worker)
 }
 
@@ -573,7 +581,7 @@
     }
 }
 
-fn job(id: &str) -> Job {
+pub fn job(id: &str) -> Job {
     Job {
         id: id.into(),
         account: "account".into(),
@@ -601,17 +609,17 @@
     }
 }
 
-fn soon() -> Instant {
+pub fn soon() -> Instant {
     Instant::now() + Duration::from_secs(2)
 }
 
-async fn runs(worker: &Fake, wanted: usize) {
+pub async fn runs(worker: &Fake, wanted: usize) {
     let running =
         || async { (worker.lock().running.len() == wanted).then_some(()) };
     until("the tasks run", running).await;
 }
 
-async fn reaches(admission: &Admission<Memory>, id: &str, wanted: Stage) {
+pub async fn reaches(admission: &Admission<Memory>, id: &str, wanted: Stage) {
     let stage = || async {
         let stage = admission.stage(id, soon()).await.ok().flatten();
         (stage == Some(wanted)).then_some(())
@@ -619,7 +627,7 @@
     until("the job's stage", stage).await;
 }
 
-const DONE: Stage = Stage::Ended(Outcome::Succeeded);
+pub const DONE: Stage = Stage::Ended(Outcome::Succeeded);
 
 #[tokio::test]
 async fn a_job_is_kept_run_once_and_done() {
--- /dev/null
+++ b/tests/it/explain.rs
@@ -0,0 +1,197 @@
+//! What became of jobs, told from log lines alone.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use landingvalve::cell::Admission;
+use landingvalve::explain::cause::Cause;
+use landingvalve::explain::story::End;
+use landingvalve::explain::Logs;
+use landingvalve::graph::How;
+use slog::o;
+use slog::Drain;
+
+use crate::cell::agent;
+use crate::cell::job;
+use crate::cell::reaches;
+use crate::cell::runs;
+use crate::cell::soon;
+use crate::cell::Entry;
+use crate::cell::Fake;
+use crate::cell::Memory;
+use crate::cell::DONE;
+
+/// Log lines as they were written.
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<u8>>>);
+
+impl Lines {
+    fn logger(&self) -> slog::Logger {
+        let out = slog_json::Json::default(self.clone());
+        let drain = Mutex::new(out.fuse()).fuse();
+        slog::Logger::root(drain, o!("process" => "e1"))
+    }
+
+    fn read(&self) -> Logs {
+        let lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut logs = Logs::default();
+        logs.read(lines.as_slice()).expect("is read");
+        logs
+    }
+}
+
+impl Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let mut lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[tokio::test]
+async fn the_life_of_a_job_is_told_from_the_lines_of_its_processes() {
+    let lines = Lines::default();
+    let store = Memory::default();
+    let worker = Fake::new();
+    let admission = Admission::new(store.clone(), lines.logger());
+    let entry = Entry::logged("entry", &store, lines.logger()).await;
+    let agent = agent(&store, &worker);
+    admission.submit(&job("a"), soon()).await;
+    runs(&worker, 2).await;
+    worker.end_all(How::Done);
+    reaches(&admission, "a", DONE).await;
+    let logs = lines.read();
+    let story = logs.story("a").expect("it is told");
+    let told: Vec<&str> =
+        story.lines().iter().map(|l| l.message.as_str()).collect();
+    let expected = [
+        "entry: a job was submitted",
+        "planner: a job is taken in",
+        "planner: a unit is placed",
+        "planner: a unit is placed",
+        "planner: a run has ended",
+        "planner: a run has ended",
+        "planner: a job has ended",
+    ];
+    for message in expected {
+        assert!(told.contains(&message), "{message}: not in {told:?}");
+    }
+    assert_eq!(story.verdict().end, End::InTime);
+    agent.abort();
+    entry.kill();
+}
+
+#[tokio::test]
+async fn a_burst_of_decisions_is_cut_and_counted_but_every_end_is_told() {
+    let lines = Lines::default();
+    let store = Memory::default();
+    let admission = Admission::new(store.clone(), lines.logger());
+    let mut ids = Vec::new();
+    for number in 0..450 {
+        let mut job = job(&format!("{number}"));
+        // Two units each, none of which ever finds a worker.
+        job.steps[0].label = Some("none".into());
+        ids.push(job.id.clone());
+        admission.submit(&job, soon()).await;
+    }
+    for id in &ids {
+        admission.cancel(id, soon()).await.expect("is cancelled");
+    }
+    let entry = Entry::logged("entry", &store, lines.logger()).await;
+    let ended = || async {
+        let logs = lines.read();
+        let over = |id: &Arc<str>| {
+            let story = logs.story(id).expect("submitted");
+            story.verdict().end == End::Cancelled
+        };
+        ids.iter().all(over).then_some(())
+    };
+    crate::support::until("all ends are told", ended).await;
+    entry.kill();
+}
+
+/// A log, and what it comes to.
+struct Case {
+    name: &'static str,
+    lines: &'static [&'static str],
+    end: End,
+    cause: Cause,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "refused by the store",
+        lines: &[
+            r#"{"ts":"2026-01-01T00:00:01Z","msg":"entry: a job was submitted","job":"j","outcome":"Refused"}"#,
+            r#"{"ts":"2026-01-01T00:00:01Z","msg":"entry: a request is answered","method":"POST","path":"/q/j","status":503,"ms":600}"#,
+        ],
+        end: End::Refused,
+        cause: Cause::Store,
+    },
+    Case {
+        name: "late for want of room, behind a collector's prefix",
+        lines: &[
+            r#"x 1.0 {"ts":"2026-01-01T00:00:00Z","msg":"entry: a job was submitted","job":"j","outcome":"Accepted"}"#,
+            r#"x 1.0 {"ts":"2026-01-01T00:00:00Z","msg":"planner: a job is taken in","job":"j"}"#,
+            r#"x 1.0 {"ts":"2026-01-01T00:00:00Z","msg":"planner: a unit waits","job":"j","unit":"0.0.0","on":"room"}"#,
+            r#"x 5.0 {"ts":"2026-01-01T00:00:04Z","msg":"planner: a unit is placed","job":"j","unit":"0.0.0","run":1,"expected_ms":1000}"#,
+            r#"x 6.0 {"ts":"2026-01-01T00:00:05Z","msg":"planner: a run has ended","job":"j","unit":"0.0.0","how":"done","member":0,"ran_ms":1000}"#,
+            r#"x 6.0 {"ts":"2026-01-01T00:00:05Z","msg":"planner: a job has ended","job":"j","outcome":"Succeeded","objective_ms":3000}"#,
+        ],
+        end: End::Late,
+        cause: Cause::Room,
+    },
+    Case {
+        name: "late for being stopped, the lines out of order",
+        lines: &[
+            r#"{"ts":"2026-01-01T00:00:09Z","msg":"planner: a job has ended","job":"j","outcome":"Succeeded","objective_ms":3000}"#,
+            r#"{"ts":"2026-01-01T00:00:04Z","msg":"planner: a run has ended","job":"j","unit":"0.0.0","how":"stopped","member":0,"ran_ms":3000}"#,
+            r#"{"ts":"2026-01-01T00:00:00Z","msg":"entry: a job was submitted","job":"j","outcome":"Accepted"}"#,
+            r#"{"ts":"2026-01-01T00:00:03Z","msg":"planner: a run is stopped","job":"j","unit":"0.0.0","why":"room for urgent work"}"#,
+            r#"{"ts":"2026-01-01T00:00:01Z","msg":"planner: a unit is placed","job":"j","unit":"0.0.0","run":1,"expected_ms":3000}"#,
+            r#"{"ts":"2026-01-01T00:00:05Z","msg":"planner: a unit is placed","job":"j","unit":"0.0.0","run":2,"expected_ms":3000}"#,
+            r#"{"ts":"2026-01-01T00:00:09Z","msg":"planner: a run has ended","job":"j","unit":"0.0.0","how":"done","member":0,"ran_ms":3100}"#,
+        ],
+        end: End::Late,
+        cause: Cause::Displaced,
+    },
+    Case {
+        name: "failed on its workers",
+        lines: &[
+            r#"{"ts":"2026-01-01T00:00:00Z","msg":"entry: a job was submitted","job":"j","outcome":"Accepted"}"#,
+            r#"{"ts":"2026-01-01T00:00:00Z","msg":"planner: a unit is placed","job":"j","unit":"0.0","run":1,"expected_ms":3000}"#,
+            r#"{"ts":"2026-01-01T00:00:02Z","msg":"planner: a run has ended","job":"j","unit":"0.0","how":"failed","member":0,"ran_ms":2000}"#,
+            r#"{"ts":"2026-01-01T00:00:02Z","msg":"planner: a job has ended","job":"j","outcome":"Failed","objective_ms":3000}"#,
+        ],
+        end: End::Failed,
+        cause: Cause::Failed,
+    },
+];
+
+#[test]
+fn each_cause_is_told_apart() {
+    for case in CASES {
+        let mut logs = Logs::default();
+        let text = case.lines.join("\n");
+        logs.read(text.as_bytes()).expect("is read");
+        let story = logs.story("j").expect("it is told");
+        let verdict = story.verdict();
+        assert_eq!(verdict.end, case.end, "{}: {verdict:?}", case.name);
+        assert_eq!(verdict.cause, case.cause, "{}: {verdict:?}", case.name);
+    }
+}
+
+#[test]
+fn lines_of_others_are_counted_and_passed_over() {
+    let mut logs = Logs::default();
+    let text = "no line of ours\n{\"ts\":\"yesterday\",\"msg\":\"x\"}\n{\n\n";
+    logs.read(text.as_bytes()).expect("is read");
+    assert_eq!(logs.counts(), (3, 3));
+    assert_eq!(logs.stories().count(), 0);
+}
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod broken;
 mod cell;
 mod examples;
+mod explain;
 mod gang_steps;
 mod graph;
 mod graph_faults;
