Learn run times by step, and not from far or adopted runs

Cause, found in the decision lines: objectives of 0.3 s for work of 5 s. A run that a planner took over counts from the takeover, so that a new planner learnt times that were far too short; gangs spread over racks taught times three times too long; and one wide step outvoted all others of its queue, since each of its tasks counted.

Change: adopted and far runs teach nothing, and a step counts once, by the mean of its runs.

Tests seen to fail without: predict::runs_that_an_earlier_planner_gave_out_tell_nothing_of_their_length, predict::a_wide_step_tells_no_more_than_a_narrow_one.

--- a/src/graph/book.rs
+++ b/src/graph/book.rs
@@ -144,6 +144,9 @@
     /// Whether its start was ever handed to an agent.
     pub handed: bool,
     pub since: Instant,
+    /// Whether an earlier planner gave it out: how long it has run is then
+    /// not known.
+    pub adopted: bool,
     /// Whether it was ever seen at work.
     pub worked: bool,
     /// When it was last seen at work.
--- a/src/graph/history.rs
+++ b/src/graph/history.rs
@@ -10,16 +10,18 @@
 
 use crate::graph::book::Entry;
 use crate::graph::Book;
+use crate::graph::Id;
+use crate::graph::Job;
 use crate::graph::Prediction;
 use crate::graph::Text;
 
-/// How many runs of a queue are remembered.
+/// How many steps of a queue are remembered.
 const KEPT: usize = 31;
-/// How many runs of a queue are needed before they count.
+/// How many steps of a queue are needed before they count.
 const LEAST: usize = 4;
-/// What speaks for no connection between declared and real times, as a sum
-/// of squares of logarithms: four runs that are off by a quarter.
-const UNRELATED: f64 = 0.25;
+/// What speaks for declared times before any run has, as a sum of squares of
+/// logarithms: four steps that are off by a quarter.
+const DECLARED: f64 = 0.25;
 /// How many runs of a step what was expected before them counts for.
 const BEFORE: f64 = 0.5;
 /// The longest that is believed of a run: callers declare anything, and
@@ -28,11 +30,14 @@
 /// The shortest run, so that every run has a logarithm.
 const SHORTEST: Duration = Duration::from_millis(1);
 
-/// A run that was done.
-#[derive(Clone, Copy, Debug)]
+/// The runs of one step that were done: its tasks are alike, so that a wide
+/// step tells no more than a narrow one.
+#[derive(Clone, Debug)]
 struct Sample {
+    job: Id,
+    step: usize,
     declared: Duration,
-    ran: Duration,
+    ran: Runs,
 }
 
 /// What a queue's runs have shown.
@@ -61,6 +66,11 @@
         self.sum += logarithm(ran);
         self.count += 1.0;
     }
+
+    /// Returns the mean of the logarithms.
+    fn mean(&self) -> f64 {
+        self.sum / self.count.max(1.0)
+    }
 }
 
 /// The runs that were done, by queue.
@@ -72,16 +82,33 @@
 }
 
 impl History {
-    /// Takes note of how long a run took that began anew and was done.
-    pub fn learn(&mut self, queue: &Text, declared: Duration, ran: Duration) {
-        let runs = self.runs.entry(queue.clone()).or_default();
-        runs.push_back(Sample { declared, ran });
+    /// Takes note of how long a run of a job's step took that began anew and
+    /// was done.
+    pub fn learn(&mut self, job: &Job, step: usize, ran: Duration) {
+        let runs = self.runs.entry(job.queue.clone()).or_default();
+        let known = runs
+            .iter_mut()
+            .rev()
+            .find(|sample| sample.job == job.id && sample.step == step);
+        match known {
+            Some(sample) => sample.ran.push(ran),
+            None => {
+                let mut sample = Sample {
+                    job: job.id.clone(),
+                    step,
+                    declared: job.steps[step].estimate,
+                    ran: Runs::default(),
+                };
+                sample.ran.push(ran);
+                runs.push_back(sample);
+            }
+        }
         if runs.len() > KEPT {
             runs.pop_front();
         }
         if runs.len() >= LEAST {
             let fit = Fit::of(runs);
-            self.fits.insert(queue.clone(), fit);
+            self.fits.insert(job.queue.clone(), fit);
         }
     }
 
@@ -107,18 +134,18 @@
 impl Fit {
     fn of(runs: &VecDeque<Sample>) -> Fit {
         let count = runs.len() as f64;
-        let mean = |of: fn(&Sample) -> Duration| {
-            runs.iter().map(|run| logarithm(of(run))).sum::<f64>() / count
-        };
-        let declared = mean(|run| run.declared);
-        let ran = mean(|run| run.ran);
+        let mean =
+            |of: fn(&Sample) -> f64| runs.iter().map(of).sum::<f64>() / count;
+        let declared = mean(|run| logarithm(run.declared));
+        let ran = mean(|run| run.ran.mean());
         let (mut both, mut square) = (0.0, 0.0);
         for run in runs {
             let off = logarithm(run.declared) - declared;
-            both += off * (logarithm(run.ran) - ran);
+            both += off * (run.ran.mean() - ran);
             square += off * off;
         }
-        let slope = both / (square + UNRELATED);
+        // Until the runs say otherwise, a difference declared is one.
+        let slope = (both + DECLARED) / (square + DECLARED);
         Fit {
             median: median(runs),
             declared,
@@ -160,7 +187,8 @@
 }
 
 fn median(runs: &VecDeque<Sample>) -> Duration {
-    let mut runs: Vec<Duration> = runs.iter().map(|run| run.ran).collect();
+    let runs = runs.iter().map(|run| exponential(run.ran.mean()));
+    let mut runs: Vec<Duration> = runs.collect();
     runs.sort();
     runs.get(runs.len() / 2).copied().unwrap_or_default()
 }
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -382,6 +382,7 @@
         state: State::Ordered(0),
         handed: true,
         since: now,
+        adopted: true,
         worked: true,
         moved: now,
     };
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -420,6 +420,7 @@
         state,
         handed: false,
         since: now.now,
+        adopted: false,
         worked: false,
         moved: now.now,
     };
--- a/src/graph/settle.rs
+++ b/src/graph/settle.rs
@@ -1,8 +1,10 @@
 //! The ends of runs, and what becomes of their units.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::graph::book::Cause;
+use crate::graph::book::Entry;
 use crate::graph::book::Phase;
 use crate::graph::book::State;
 use crate::graph::book::Why;
@@ -16,6 +18,7 @@
 use crate::graph::Place;
 use crate::graph::Refusal;
 use crate::graph::Resources;
+use crate::graph::Text;
 use crate::graph::UnitKey;
 
 /// How long a unit waits after a run that failed or was refused.
@@ -81,6 +84,7 @@
         member.state = State::Ended;
         let place = member.place.clone();
         let since = member.since;
+        let began = !member.adopted;
         let stopped = unit.stop;
         unit.cause = match (unit.cause, end) {
             (Cause::Open, End::Listed(How::Broken)) => Cause::Hidden,
@@ -96,7 +100,7 @@
             End::Listed(How::Done) => {
                 unit.any_done = true;
                 let ran = now.now.saturating_duration_since(since);
-                learnt = whole.then_some(ran);
+                learnt = (whole && began).then_some(ran);
             }
             End::Listed(How::Failed) => {
                 failed = true;
@@ -135,22 +139,45 @@
         self.settle_unit(id, key, now);
     }
 
+    /// Returns whether a unit's run is slow by its place: a gang's spread
+    /// over racks, or a task's away from its data.
+    fn is_far(&self, entry: &Entry, key: &UnitKey) -> bool {
+        let step = &entry.job.steps[key.step];
+        let Some(unit) = entry.units.get(key) else {
+            return false;
+        };
+        let Phase::Running(members) = &unit.phase else {
+            return false;
+        };
+        let workers = members.iter().filter_map(|member| {
+            let worker = self.workers.get(&member.place.agent)?;
+            (worker.life == member.place.life).then_some(&worker.rack)
+        });
+        let racks: BTreeSet<&Text> = workers.collect();
+        let away = |data: &Text| racks.iter().any(|rack| *rack != data);
+        step.gang && step.same_rack && racks.len() > 1
+            || step.data_rack.as_ref().is_some_and(away)
+    }
+
     /// Takes note of how long a whole run took.
     fn learn(&mut self, id: &Id, key: &UnitKey, place: &Place, ran: Duration) {
         let Some(entry) = self.jobs.get(id) else {
             return;
         };
+        if self.is_far(entry, key) {
+            return;
+        }
         let step = &entry.job.steps[key.step];
         // A gang goes at the pace of its slowest, and a far run is slow by
         // itself: neither tells of the worker.
         let alone = !step.gang && step.data_rack.is_none();
         let expected = self.expect(entry, key.step).as_secs_f64();
-        let (queue, declared) = (entry.job.queue.clone(), step.estimate);
         if alone && expected > 0.0 {
             let times = ran.as_secs_f64() / expected;
             self.speeds.learn(&place.agent, times);
         }
-        self.history.learn(&queue, declared, ran);
+        let job = entry.job.clone();
+        self.history.learn(&job, key.step, ran);
         if let Some(entry) = self.jobs.get_mut(id) {
             entry.ran.entry(key.step).or_default().push(ran);
         }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -18,6 +18,7 @@
 mod plan_mask;
 mod plan_predict;
 mod plan_property;
+mod predict;
 mod promises;
 mod reach;
 mod replay;
