Explain: tell refusals by their status, and blame nothing small

Cause: on played logs, requests whose key was taken away were listed as refused by the store, and late jobs as late for 0.01 s of it.

Change: a refusal's cause is that of its last answer; a cost below a quarter of what a job is late by is not its cause. Cases added for both.

--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -8,6 +8,10 @@
 )]
 #[serde(rename_all = "snake_case")]
 pub enum Cause {
+    /// Its key was none, or was taken away.
+    Key,
+    /// It asked for what there is not, or in a way that is not understood.
+    Request,
     /// The store did not take it, or did not say so.
     Store,
     /// No planner took it in.
@@ -39,6 +43,8 @@
 impl fmt::Display for Cause {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
+            Cause::Key => "its key is none",
+            Cause::Request => "what it asked is not understood",
             Cause::Store => "the store did not take it",
             Cause::Planner => "no planner took it in",
             Cause::Worker => "no worker could be used",
@@ -67,6 +73,15 @@
     }
 }
 
+/// Returns the cause that a status stands for which refuses a request.
+pub fn of_status(status: i64) -> Cause {
+    match status {
+        401 => Cause::Key,
+        400..=499 => Cause::Request,
+        _ => Cause::Store,
+    }
+}
+
 /// Returns the cause that a wait stands for.
 pub fn of_wait(on: &str) -> Cause {
     match on {
--- a/src/explain/story.rs
+++ b/src/explain/story.rs
@@ -93,8 +93,13 @@
         };
         let costs = costs(&lines, began);
         let dearest = costs.iter().max_by_key(|(_, cost)| **cost);
+        // What cost little of what it is late by is not why it is late.
+        let late = took.saturating_sub(objective);
         let (cause, cost) = match dearest {
-            _ if end == End::Refused => (Cause::Store, took),
+            _ if end == End::Refused => (refusal(&lines), took),
+            Some((_, cost)) if end == End::Late && *cost < late / 4 => {
+                (Cause::Work, late)
+            }
             Some((cause, cost)) => (*cause, *cost),
             None => (Cause::Work, took),
         };
@@ -111,6 +116,13 @@
 /// The end of the line that says that a job has ended.
 const OVER: &str = "a job has ended";
 
+/// Returns why a request was refused: by the last answer to it.
+fn refusal(lines: &[&Line]) -> Cause {
+    let statuses = lines.iter().rev();
+    let mut statuses = statuses.filter_map(|line| line.number("status"));
+    statuses.next().map_or(Cause::Store, cause::of_status)
+}
+
 fn taken_in<'a>(lines: &[&'a Line]) -> Option<&'a Line> {
     let mut lines = lines.iter();
     lines.find(|l| l.message.ends_with("is taken in")).copied()
--- a/tests/it/explain.rs
+++ b/tests/it/explain.rs
@@ -134,6 +134,26 @@
         end: End::Refused,
         cause: Cause::Store,
     },
+    Case {
+        name: "refused for its key",
+        lines: &[
+            r#"{"ts":"2026-01-01T00:00:01Z","msg":"entry: a request is answered","method":"POST","path":"/q/5c0e7a21d94b36f8","status":401,"ms":0}"#,
+        ],
+        end: End::Refused,
+        cause: Cause::Key,
+    },
+    Case {
+        name: "late, with nothing else to blame",
+        lines: &[
+            r#"{"ts":"2026-01-01T00:00:00Z","msg":"entry: a job was submitted","job":"j","outcome":"Accepted"}"#,
+            r#"{"ts":"2026-01-01T00:00:00.01Z","msg":"planner: a job is taken in","job":"j"}"#,
+            r#"{"ts":"2026-01-01T00:00:00.01Z","msg":"planner: a unit is placed","job":"j","unit":"0.0.0","run":1,"expected_ms":6000}"#,
+            r#"{"ts":"2026-01-01T00:00:06Z","msg":"planner: a run has ended","job":"j","unit":"0.0.0","how":"done","member":0,"ran_ms":6000}"#,
+            r#"{"ts":"2026-01-01T00:00:06Z","msg":"planner: a job has ended","job":"j","outcome":"Succeeded","objective_ms":3000}"#,
+        ],
+        end: End::Late,
+        cause: Cause::Work,
+    },
     Case {
         name: "late for want of room, behind a collector's prefix",
         lines: &[
@@ -180,7 +200,7 @@
         let mut logs = Logs::default();
         let text = case.lines.join("\n");
         logs.read(text.as_bytes()).expect("is read");
-        let story = logs.story("j").expect("it is told");
+        let (_, story) = logs.stories().next().expect("it is told");
         let verdict = story.verdict();
         assert_eq!(verdict.end, case.end, "{}: {verdict:?}", case.name);
         assert_eq!(verdict.cause, case.cause, "{}: {verdict:?}", case.name);
