Take out speeds and the urgent units' kept room; let workers leave at random

Change: both are removed with their code. Urgent units on the fastest workers break up whole workers; kept room bars others from what comes free.

--- a/src/graph/book.rs
+++ b/src/graph/book.rs
@@ -12,7 +12,6 @@
 use crate::graph::history::History;
 use crate::graph::history::Runs;
 use crate::graph::pace::Filling;
-use crate::graph::speed::Speeds;
 use crate::graph::AgentId;
 use crate::graph::Decision;
 use crate::graph::Id;
@@ -343,7 +342,6 @@
     /// The accelerators that each client account is guaranteed.
     pub(super) guarantees: BTreeMap<Text, i64>,
     pub(super) history: History,
-    pub(super) speeds: Speeds,
     /// When the last urgent job of each pool was accepted.
     pub(super) urgent: BTreeMap<Text, Instant>,
     /// Who may run the steps whose starts need leave.
@@ -368,7 +366,6 @@
             open: BTreeSet::new(),
             guarantees: BTreeMap::new(),
             history: History::default(),
-            speeds: Speeds::default(),
             urgent: BTreeMap::new(),
             leave: BTreeMap::new(),
             dirty: BTreeSet::new(),
--- a/src/graph/mod.rs
+++ b/src/graph/mod.rs
@@ -32,7 +32,6 @@
 mod schedule;
 mod settle;
 mod spare;
-mod speed;
 
 pub use advice::Question;
 pub use advice::StepKey;
--- a/src/graph/place.rs
+++ b/src/graph/place.rs
@@ -6,7 +6,6 @@
 use std::time::Instant;
 
 use crate::graph::book::Entry;
-use crate::graph::book::State;
 use crate::graph::book::Unit;
 use crate::graph::book::Worker;
 use crate::graph::schedule::LONGEST_IDLE;
@@ -20,11 +19,6 @@
 use crate::graph::Text;
 use crate::graph::UnitKey;
 
-/// The step in which workers' slowness is compared, a logarithm: 15%.
-const SLOWER: f64 = 0.15;
-/// The shortest time that a run is expected to take, in seconds.
-const LEAST_EXPECTED: f64 = 0.001;
-
 /// What a unit needs.
 #[derive(Clone, Debug)]
 pub(super) struct Request {
@@ -102,8 +96,6 @@
     pub quota: u32,
     /// What speaks against it, the lower the better.
     pub doubt: usize,
-    /// How slow it is, in steps, where that counts.
-    pub slow: i64,
 }
 
 impl Candidate {
@@ -218,16 +210,6 @@
         let wary = self.terms.policy.probation && request.last;
         let sound = untried(request, sound, wary);
         let spare = self.spare(request, &sound, now);
-        // Only to urgent work: what can wait goes wherever it fits best.
-        let overdue = (self.terms.policy.speeds && request.priority == 0)
-            .then(|| self.overdue(now));
-        let slow = |agent: &AgentId| {
-            overdue.as_ref().map_or(0, |overdue| {
-                let times = overdue.get(agent).copied();
-                let slowness = self.speeds.slowness(agent, times);
-                (slowness / SLOWER).round() as i64
-            })
-        };
         sound
             .into_iter()
             .filter(|(agent, _)| !spare.contains(*agent))
@@ -243,35 +225,10 @@
                 },
                 quota: self.quota(request, agent),
                 doubt: worker.health.doubt(),
-                slow: slow(agent),
             })
             .collect()
     }
 
-    /// Returns how many times longer than expected a run on each worker has
-    /// taken already.
-    fn overdue(&self, now: Moment) -> BTreeMap<&AgentId, f64> {
-        let mut overdue: BTreeMap<&AgentId, f64> = BTreeMap::new();
-        for entry in self.live() {
-            for (key, unit) in &entry.units {
-                if entry.job.steps[key.step].lasting {
-                    continue;
-                }
-                let runs =
-                    unit.members().filter(|m| m.state == State::Present);
-                for member in runs {
-                    let ran = now.now.saturating_duration_since(member.since);
-                    let expected = self.expect(entry, key.step);
-                    let times = ran.as_secs_f64()
-                        / expected.as_secs_f64().max(LEAST_EXPECTED);
-                    let most = overdue.entry(&member.place.agent).or_default();
-                    *most = most.max(times);
-                }
-            }
-        }
-        overdue
-    }
-
     pub(super) fn usable(
         &self,
         worker: &Worker,
@@ -343,7 +300,7 @@
             .filter(|c| c.quota > 0 && c.free.holds(&request.charge))
             .min_by_key(|c| {
                 let left = c.free.minus(&request.charge);
-                (c.doubt, c.slow, left.accelerators, left.cpu)
+                (c.doubt, left.accelerators, left.cpu)
             })?;
         best.free = best.free.minus(&request.charge);
         best.quota -= 1;
--- a/src/graph/policy.rs
+++ b/src/graph/policy.rs
@@ -43,9 +43,6 @@
     /// The most core-seconds that are thrown away for one urgent unit beyond
     /// its account's guarantee. Of 30 to 1000, all earned the same.
     pub most_lost: f64,
-    /// Whether room is kept at once for an urgent unit for which nothing is
-    /// stopped.
-    pub keep_urgent: bool,
     /// What run times are told from.
     pub prediction: Prediction,
     /// Whether workers that fail are kept apart.
@@ -53,8 +50,6 @@
     /// Whether two failures of one job speak against their worker, and last
     /// attempts are kept from workers in doubt.
     pub probation: bool,
-    /// Whether urgent work prefers workers that are not slow.
-    pub speeds: bool,
     /// Whether a gang's run is taken for over at the one worker that is not
     /// heard of, once the other members tell that one has ended.
     pub broken_tells: bool,
@@ -69,11 +64,9 @@
             near: 0.5,
             kept: 0.35,
             most_lost: 120.0,
-            keep_urgent: false,
             prediction: Prediction::Queue,
             apart: true,
             probation: false,
-            speeds: false,
             broken_tells: true,
             stuck: true,
         }
--- a/src/graph/reserve.rs
+++ b/src/graph/reserve.rs
@@ -19,7 +19,7 @@
 use crate::graph::Resources;
 use crate::graph::UnitKey;
 
-/// How long a unit that is not urgent waits before room is kept for it.
+/// How long a unit waits before room is kept for it.
 const PATIENCE: Duration = Duration::from_millis(1500);
 /// The share of its age that a run is expected to go on for at least.
 const OUTLIVED: f64 = 0.15;
@@ -41,7 +41,7 @@
         request: &Request,
         now: Moment,
     ) -> bool {
-        if request.priority > 0 && now.now < request.ready + PATIENCE {
+        if now.now < request.ready + PATIENCE {
             return false;
         }
         let workers = self.candidates(request, now).len();
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -309,10 +309,7 @@
             return true;
         }
         match request.priority {
-            0 if self.preempt(&waiting.id, &waiting.key, &request, now) => {
-                true
-            }
-            0 if !self.terms.policy.keep_urgent => false,
+            0 => self.preempt(&waiting.id, &waiting.key, &request, now),
             _ => self.keep_room(&waiting.id, &waiting.key, &request, now),
         }
     }
--- a/src/graph/settle.rs
+++ b/src/graph/settle.rs
@@ -121,7 +121,7 @@
             self.touch(id);
         }
         if let Some(ran) = learnt {
-            self.learn(&job, key, &place, ran);
+            self.learn(&job, key, ran);
         }
         self.note(Decision::Ended {
             of,
@@ -160,22 +160,13 @@
     }
 
     /// Takes note of how long a whole run took.
-    fn learn(&mut self, id: &Id, key: &UnitKey, place: &Place, ran: Duration) {
+    fn learn(&mut self, id: &Id, key: &UnitKey, ran: Duration) {
         let Some(entry) = self.jobs.get(id) else {
             return;
         };
         if self.is_far(entry, key) {
             return;
         }
-        let step = &entry.job.steps[key.step];
-        // A gang goes at the pace of its slowest, and a far run is slow by
-        // itself: neither tells of the worker.
-        let alone = !step.gang && step.data_rack.is_none();
-        let expected = self.expect(entry, key.step).as_secs_f64();
-        if alone && expected > 0.0 {
-            let times = ran.as_secs_f64() / expected;
-            self.speeds.learn(&place.agent, times);
-        }
         let job = entry.job.clone();
         self.history.learn(&job, key.step, ran);
         if let Some(entry) = self.jobs.get_mut(id) {
--- a/tests/it/graph_faults.rs
+++ b/tests/it/graph_faults.rs
@@ -76,6 +76,8 @@
     barred: BTreeMap<Task, Run>,
     refused: Vec<Refused>,
     gone: Option<u32>,
+    /// Whether it is leaving.
+    leaving: bool,
     /// For how many rounds its agent and the planner do not hear each other.
     cut: u32,
 }
@@ -155,6 +157,7 @@
             barred: BTreeMap::new(),
             refused: Vec::new(),
             gone: None,
+            leaving: false,
             cut: 0,
         });
         World {
@@ -258,12 +261,18 @@
         self.planner.writing = self.planner.book.unwritten(10);
     }
 
-    fn crash(&mut self) {
+    /// Lets a worker say that it leaves.
+    fn leave(&mut self) {
         let at = self.random.usize(..self.workers.len());
+        self.workers[at].leaving = true;
+    }
+
+    fn crash(&mut self, at: usize) {
         let now = self.now.now;
         let worker = &mut self.workers[at];
         worker.gone = Some(worker.life);
         worker.life += 1;
+        worker.leaving = false;
         worker.token = 0;
         worker.granted = now + Terms::default().survival;
         worker.running.clear();
@@ -387,7 +396,7 @@
                 rack: worker.rack.into(),
                 labels: Vec::new(),
                 capacity: room(),
-                leaving: false,
+                leaving: worker.leaving,
                 silent: false,
                 remaining_ms: None,
                 lists: Lists {
@@ -610,7 +619,18 @@
             self.take_over();
         }
         if self.fault(20) {
-            self.crash();
+            let at = self.random.usize(..self.workers.len());
+            self.crash(at);
+        }
+        if self.fault(30) {
+            self.leave();
+        }
+        // What leaves goes sooner or later, and another comes for it.
+        for at in 0..self.workers.len() {
+            let goes = !self.faults || self.random.u32(..40) == 0;
+            if self.workers[at].leaving && goes {
+                self.crash(at);
+            }
         }
         if self.fault(20) {
             let at = self.random.usize(..self.workers.len());
