--- a/src/explain/story.rs
+++ b/src/explain/story.rs
@@ -97,6 +97,8 @@
         let late = took.saturating_sub(objective);
         let (cause, cost) = match dearest {
             _ if end == End::Refused => (refusal(&lines), took),
+            // What else its units went through did not end it.
+            _ if end == End::Failed => (Cause::Failed, took),
             Some((_, cost)) if end == End::Late && *cost < late / 4 => {
                 (Cause::Work, late)
             }
--- a/tests/it/explain.rs
+++ b/tests/it/explain.rs
@@ -188,6 +188,7 @@
             r#"{"ts":"2026-01-01T00:00:00Z","msg":"planner: a unit is placed","job":"j","unit":"0.0","run":1,"expected_ms":3000}"#,
             r#"{"ts":"2026-01-01T00:00:02Z","msg":"planner: a run has ended","job":"j","unit":"0.0","how":"failed","member":0,"ran_ms":2000}"#,
             r#"{"ts":"2026-01-01T00:00:02Z","msg":"planner: a job has ended","job":"j","outcome":"Failed","objective_ms":3000}"#,
+            r#"{"ts":"2026-01-01T00:00:03Z","msg":"planner: a run has ended","job":"j","unit":"0.1","how":"stopped","member":0,"ran_ms":9000}"#,
         ],
         end: End::Failed,
         cause: Cause::Failed,
