Tell run times from what is declared, and put bad workers on probation

Change: policy.prediction = fitted and policy.probation = yes by default. A line through the logarithms of declared and real times, which starts out trusting what is declared, and the runs of the same step; two failures in a row speak against a worker unless the job failed elsewhere too, and a last attempt is not made on a worker in doubt.

Tests in doubt.rs; with both off 4 of 5 fail, the fifth holds what was.

--- a/src/graph/policy.rs
+++ b/src/graph/policy.rs
@@ -64,9 +64,9 @@
             near: 0.5,
             kept: 0.35,
             most_lost: 120.0,
-            prediction: Prediction::Queue,
+            prediction: Prediction::Fitted,
             apart: true,
-            probation: false,
+            probation: true,
             broken_tells: true,
             stuck: true,
         }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod advice;
 mod broken;
 mod cell;
+mod doubt;
 mod examples;
 mod explain;
 mod gang_steps;
