Let a new planner wait for the workers it has heard of

Change: for up to 1.5 s after its claim, until every worker has reported on which an earlier planner had put something, a planner stops nothing, and spreads nothing that is slow when spread. policy.awaits switches it off.

Test seen to fail without: takeover::a_new_planner_spreads_and_stops_nothing_before_it_knows_its_workers.

--- a/src/graph/loss.rs
+++ b/src/graph/loss.rs
@@ -14,6 +14,9 @@
 use crate::graph::Moment;
 use crate::graph::Place;
 
+/// How long a planner counts as new: agents find it within tenths of a
+/// second, and one that lost its VM with the last planner does not come.
+const NEW: Duration = Duration::from_millis(1500);
 /// How long a member may show no work before it may be taken for stuck.
 const STUCK: Duration = Duration::from_millis(2600);
 /// How many times longer than expected a run may take that has shown work.
@@ -118,6 +121,20 @@
         }
     }
 
+    /// Returns whether this planner is new, and has not heard yet of a worker
+    /// on which an earlier one has put something. What it sees then is a
+    /// small part of the site: gangs were spread over the first racks that
+    /// reported, and took three times as long, and runs were stopped there
+    /// though others would have been free 0.2 s later.
+    pub(super) fn awaits(&self, now: Moment) -> bool {
+        if !self.terms.policy.awaits || now.now >= self.began + NEW {
+            return false;
+        }
+        let units = self.live().flat_map(|entry| entry.units.values());
+        let mut members = units.flat_map(Unit::members);
+        members.any(|m| !self.workers.contains_key(&m.place.agent))
+    }
+
     /// Returns whether what is left of a unit's run began on one worker that
     /// nothing is heard of.
     fn is_hidden(&self, unit: &Unit, now: Moment) -> bool {
--- a/src/graph/place.rs
+++ b/src/graph/place.rs
@@ -159,7 +159,9 @@
         } else if request.data_rack.is_some() && !roomy.is_empty() {
             choices.push(Some(near.map(|(rack, _)| rack.clone()).collect()));
         }
-        if choices.is_empty() || now.now >= self.near_until(request) {
+        let slow_if_spread = request.same_rack || request.data_rack.is_some();
+        let spread = choices.is_empty() || now.now >= self.near_until(request);
+        if spread && !(slow_if_spread && self.awaits(now)) {
             choices.push(None);
         }
         choices
--- a/src/graph/policy.rs
+++ b/src/graph/policy.rs
@@ -50,6 +50,9 @@
     /// Whether two failures of one job speak against their worker, and last
     /// attempts are kept from workers in doubt.
     pub probation: bool,
+    /// Whether a new planner stops nothing, and spreads nothing over racks,
+    /// until it has heard of the workers that are known to run something.
+    pub awaits: bool,
     /// Whether a gang's run is taken for over at the one worker that is not
     /// heard of, once the other members tell that one has ended.
     pub broken_tells: bool,
@@ -67,6 +70,7 @@
             prediction: Prediction::Fitted,
             apart: true,
             probation: true,
+            awaits: true,
             broken_tells: true,
             stuck: true,
         }
--- a/src/graph/preempt.rs
+++ b/src/graph/preempt.rs
@@ -56,6 +56,9 @@
         request: &Request,
         now: Moment,
     ) -> bool {
+        if self.awaits(now) {
+            return false;
+        }
         let victims = self.victims(request, now);
         let best = self
             .choices(request, now)
--- a/tests/it/takeover.rs
+++ b/tests/it/takeover.rs
@@ -1,7 +1,10 @@
 //! What a planner that takes over hears a second time.
 
+use std::collections::BTreeSet;
+
 use landingvalve::graph::Book;
 use landingvalve::graph::How;
+use landingvalve::graph::Job;
 use landingvalve::graph::Terms;
 
 use crate::graph::job;
@@ -54,3 +57,56 @@
     let orders = site.book.orders(&second);
     assert_eq!((orders.starts.len(), orders.stops.len()), (0, 1));
 }
+
+/// Hands the books over to a new planner that no agent has reported to yet.
+fn hand_over(site: &mut Site, jobs: &[Job]) {
+    let mut next = Book::new(Terms::default(), site.now);
+    for job in jobs {
+        let kept = site.book.progress(&job.id).cloned();
+        next.accept(job.clone(), kept, site.now);
+    }
+    site.book = next;
+}
+
+/// Lets some workers alone report, and the books decide.
+fn heard(site: &mut Site, workers: &[usize]) {
+    for at in workers {
+        let report = site.workers[*at].report();
+        site.book.report(report, site.now);
+    }
+    site.book.step(site.now);
+}
+
+#[test]
+fn a_new_planner_spreads_and_stops_nothing_before_it_knows_its_workers() {
+    let four = [("w1", "r1"), ("w2", "r1"), ("w3", "r2"), ("w4", "r2")];
+    let mut site = Site::new(&four);
+    let low = job("low", 1, vec![step(4, 4, false)], &site);
+    site.submit(low.clone());
+    site.settle();
+    // Two whole workers, in one rack or three times as slow.
+    let urgent = job("urgent", 0, vec![step(2, 8, true)], &site);
+    hand_over(&mut site, &[low, urgent]);
+    let held: Vec<usize> = (0..4)
+        .filter(|at| !site.workers[*at].running.is_empty())
+        .collect();
+    assert!(held.len() < 4, "the low one leaves room");
+    // A worker of each rack reports; one that runs something has not.
+    heard(&mut site, &[0, 3]);
+    let all: Vec<_> = site.workers.iter().map(|w| w.agent.clone()).collect();
+    for agent in &all {
+        let orders = site.book.orders(agent);
+        assert!(orders.stops.is_empty(), "{agent}: {orders:?}");
+        assert!(orders.starts.is_empty(), "{agent}: {orders:?}");
+    }
+    // Once all have, it goes on at once.
+    site.settle();
+    assert_eq!(site.running("urgent"), 2);
+    let racks: BTreeSet<_> = site
+        .workers
+        .iter()
+        .filter(|w| w.running.iter().any(|r| &*r.task.job == "urgent"))
+        .map(|w| w.rack)
+        .collect();
+    assert_eq!(racks.len(), 1, "{racks:?}");
+}
