Move units, entries, urgency and the policy's settings into modules

Change: graph::unit, graph::entry and graph::urgency, platform's policy, and Field::new in place of a local constructor.

--- a/src/graph/advice.rs
+++ b/src/graph/advice.rs
@@ -9,9 +9,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::graph::book::Entry;
-use crate::graph::book::Phase;
+use crate::graph::entry::Entry;
 use crate::graph::place::Request;
+use crate::graph::unit::Phase;
 use crate::graph::Book;
 use crate::graph::Id;
 use crate::graph::Life;
--- a/src/graph/book.rs
+++ b/src/graph/book.rs
@@ -3,19 +3,18 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
-use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::graph::advice::Leave;
+use crate::graph::entry::Entry;
 use crate::graph::health::Health;
 use crate::graph::history::History;
-use crate::graph::history::Runs;
 use crate::graph::pace::Filling;
+use crate::graph::unit::Why;
 use crate::graph::AgentId;
 use crate::graph::Decision;
 use crate::graph::Id;
-use crate::graph::Job;
 use crate::graph::Life;
 use crate::graph::Moment;
 use crate::graph::Outcome;
@@ -25,11 +24,9 @@
 use crate::graph::Resources;
 use crate::graph::Run;
 use crate::graph::StepKey;
-use crate::graph::Subject;
 use crate::graph::Task;
 use crate::graph::Text;
 use crate::graph::UnitKey;
-use crate::graph::Wait;
 
 /// The times that the decisions rest on.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -123,212 +120,6 @@
     }
 }
 
-/// How far a member has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum State {
-    /// Its start is ordered, once this version of the progress is written.
-    Ordered(u64),
-    /// Its worker lists it as running.
-    Present,
-    /// It has ended, or never began and never will.
-    Ended,
-}
-
-/// A task of a run.
-#[derive(Clone, Debug)]
-pub(super) struct Member {
-    pub index: u32,
-    pub place: Place,
-    pub state: State,
-    /// Whether its start was ever handed to an agent.
-    pub handed: bool,
-    pub since: Instant,
-    /// Whether an earlier planner gave it out: how long it has run is then
-    /// not known.
-    pub adopted: bool,
-    /// Whether it was ever seen at work.
-    pub worked: bool,
-    /// When it was last seen at work.
-    pub moved: Instant,
-}
-
-/// Where a unit stands.
-#[derive(Clone, Debug, Default)]
-pub(super) enum Phase {
-    /// It waits for a place.
-    #[default]
-    Waiting,
-    /// It has a place, whose room is not free yet.
-    Reserved(Vec<Member>),
-    /// A run was given out.
-    Running(Vec<Member>),
-    /// It is done.
-    Done,
-}
-
-/// Why a run is stopped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Why {
-    /// Its job is over.
-    Over,
-    /// Its room goes to a job of higher priority.
-    Preempted,
-    /// A member could not start, or has ended.
-    Broken,
-    /// It makes no progress.
-    Stuck,
-    /// Its worker is leaving before it would be done.
-    Leaving,
-}
-
-impl Why {
-    /// Returns the word for it in logs.
-    pub fn word(self) -> &'static str {
-        match self {
-            Why::Over => "job over",
-            Why::Preempted => "room for urgent work",
-            Why::Broken => "member lost",
-            Why::Stuck => "stuck",
-            Why::Leaving => "worker leaving",
-        }
-    }
-}
-
-/// What the ended members of a gang's run tell of why it broke.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Cause {
-    /// None has ended.
-    Open,
-    /// Another one ended before them: one that has not been heard of.
-    Hidden,
-    /// One of them is the cause.
-    Known,
-}
-
-/// What is placed and started as one.
-#[derive(Clone, Debug)]
-pub(super) struct Unit {
-    pub phase: Phase,
-    /// Since when it could be placed.
-    pub ready: Instant,
-    /// Before which it is not placed.
-    pub not_before: Instant,
-    /// Where it has failed.
-    pub avoid: Vec<AgentId>,
-    pub stop: Option<Why>,
-    /// What it was last seen to wait for, and when.
-    pub waits: Option<(Wait, Instant)>,
-    pub any_done: bool,
-    /// What is known of why its run broke.
-    pub cause: Cause,
-}
-
-impl Unit {
-    pub fn new(now: Instant) -> Unit {
-        Unit {
-            phase: Phase::Waiting,
-            ready: now,
-            not_before: now,
-            avoid: Vec::new(),
-            stop: None,
-            waits: None,
-            any_done: false,
-            cause: Cause::Open,
-        }
-    }
-
-    /// Returns its members that have not ended.
-    pub fn members(&self) -> impl Iterator<Item = &Member> {
-        let members: &[Member] = match &self.phase {
-            Phase::Reserved(members) | Phase::Running(members) => members,
-            Phase::Waiting | Phase::Done => &[],
-        };
-        members.iter().filter(|m| m.state != State::Ended)
-    }
-}
-
-/// A job and how far it has come.
-#[derive(Clone, Debug)]
-pub(super) struct Entry {
-    pub job: Arc<Job>,
-    pub progress: Progress,
-    /// Counts the changes of the progress.
-    pub version: u64,
-    /// The last version that is written.
-    pub written: u64,
-    pub cancelled: bool,
-    /// The units that have been opened: their time is due, and the steps
-    /// that they wait for are done.
-    pub units: BTreeMap<UnitKey, Unit>,
-    /// The steps that have been opened.
-    pub opened: BTreeSet<(u32, usize)>,
-    /// How long whole runs of each step took.
-    pub ran: BTreeMap<usize, Runs>,
-    pub accepted: Instant,
-}
-
-impl Entry {
-    pub fn over(&self) -> bool {
-        self.progress.outcome.is_some()
-    }
-
-    /// Returns the members that a unit has.
-    pub fn width(&self, key: &UnitKey) -> u32 {
-        match key.index {
-            Some(_) => 1,
-            None => self.job.steps[key.step].replicas,
-        }
-    }
-
-    /// Returns whether every task of a step is done.
-    pub fn step_done(&self, time: u32, step: usize) -> bool {
-        let done = |index| {
-            let key = UnitKey { time, step, index };
-            self.progress.units.get(&key).is_some_and(|unit| unit.done)
-        };
-        let terms = &self.job.steps[step];
-        match terms.gang {
-            true => done(None),
-            false => (0..terms.replicas).all(|index| done(Some(index))),
-        }
-    }
-
-    /// Returns whether every task of the job is done.
-    pub fn all_done(&self) -> bool {
-        (0..self.job.times()).all(|time| {
-            (0..self.job.steps.len()).all(|step| self.step_done(time, step))
-        })
-    }
-
-    /// Returns whether a unit's next failure would be its job's.
-    pub fn is_last(&self, key: &UnitKey) -> bool {
-        let kept = self.progress.units.get(key);
-        let failed = kept.map_or(0, |kept| kept.failed);
-        !self.job.steps[key.step].lasting
-            && failed + 1 >= self.job.max_attempts
-    }
-
-    /// Returns a unit with what it belongs to.
-    pub fn subject(&self, key: &UnitKey) -> Subject {
-        Subject {
-            job: self.job.id.clone(),
-            account: self.job.account.clone(),
-            queue: self.job.queue.clone(),
-            unit: *key,
-        }
-    }
-
-    /// Returns the name of a member's task.
-    pub fn task(&self, key: &UnitKey, member: &Member) -> Task {
-        Task {
-            job: self.job.id.clone(),
-            time: key.time,
-            step: key.step,
-            index: member.index,
-        }
-    }
-}
-
 /// The decision core.
 #[derive(Clone, Debug)]
 pub struct Book {
@@ -405,20 +196,6 @@
         }
     }
 
-    /// Returns what is left until a unit would have to start, in ms; below
-    /// 0 once that is past.
-    pub(super) fn slack(
-        &self,
-        entry: &Entry,
-        key: &UnitKey,
-        now: Moment,
-    ) -> i64 {
-        let (_, latest) = self.urgency(entry, key, now);
-        let left = latest.saturating_duration_since(now.now).as_millis();
-        let past = now.now.saturating_duration_since(latest).as_millis();
-        left as i64 - past as i64
-    }
-
     /// Returns the agents whose orders may have changed since this was last
     /// called.
     pub fn take_stirred(&mut self) -> BTreeSet<AgentId> {
--- a/src/graph/history.rs
+++ b/src/graph/history.rs
@@ -8,7 +8,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::graph::book::Entry;
+use crate::graph::entry::Entry;
 use crate::graph::Book;
 use crate::graph::Id;
 use crate::graph::Job;
@@ -170,11 +170,6 @@
             _ => expected,
         }
     }
-
-    /// Returns the longest chain of expected work through a job's steps.
-    pub(super) fn chain(&self, entry: &Entry) -> Duration {
-        entry.job.chain(|step| self.expect(entry, step))
-    }
 }
 
 fn logarithm(time: Duration) -> f64 {
--- a/src/graph/loss.rs
+++ b/src/graph/loss.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use crate::graph::book::Cause;
-use crate::graph::book::Member;
-use crate::graph::book::Phase;
-use crate::graph::book::State;
-use crate::graph::book::Unit;
-use crate::graph::book::Why;
 use crate::graph::settle::End;
+use crate::graph::unit::Cause;
+use crate::graph::unit::Member;
+use crate::graph::unit::Phase;
+use crate::graph::unit::State;
+use crate::graph::unit::Unit;
+use crate::graph::unit::Why;
 use crate::graph::Book;
 use crate::graph::Decision;
 use crate::graph::Moment;
--- a/src/graph/mod.rs
+++ b/src/graph/mod.rs
@@ -16,6 +16,7 @@
 mod advice;
 mod book;
 mod decision;
+mod entry;
 mod health;
 mod history;
 mod intake;
@@ -32,6 +33,8 @@
 mod schedule;
 mod settle;
 mod spare;
+mod unit;
+mod urgency;
 
 pub use advice::Question;
 pub use advice::StepKey;
--- a/src/graph/orders.rs
+++ b/src/graph/orders.rs
@@ -6,11 +6,11 @@
 use serde::Serialize;
 
 use crate::graph::advice::Leave;
-use crate::graph::book::Entry;
-use crate::graph::book::Member;
-use crate::graph::book::Phase;
-use crate::graph::book::State;
-use crate::graph::book::Unit;
+use crate::graph::entry::Entry;
+use crate::graph::unit::Member;
+use crate::graph::unit::Phase;
+use crate::graph::unit::State;
+use crate::graph::unit::Unit;
 use crate::graph::AgentId;
 use crate::graph::Book;
 use crate::graph::Life;
--- a/src/graph/pace.rs
+++ b/src/graph/pace.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::graph::book::Entry;
+use crate::graph::entry::Entry;
 use crate::graph::AgentId;
 use crate::graph::Book;
 use crate::graph::Decision;
--- a/src/graph/place.rs
+++ b/src/graph/place.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::graph::book::Entry;
-use crate::graph::book::Unit;
 use crate::graph::book::Worker;
+use crate::graph::entry::Entry;
 use crate::graph::schedule::LONGEST_IDLE;
+use crate::graph::unit::Unit;
 use crate::graph::AgentId;
 use crate::graph::Book;
 use crate::graph::Id;
@@ -269,8 +269,9 @@
     }
 }
 
-/// Leaves out the workers where a unit has failed, and those in doubt where
-/// one is wary, if the others could hold it; a unit that has waited while most is idle takes them all the same.
+/// Leaves out the workers where a unit has failed, and for a wary one those
+/// in doubt, if the others could hold it; a unit that has waited while most
+/// is idle takes them all the same.
 fn untried<'a>(
     request: &Request,
     sound: Vec<(&'a AgentId, &'a Worker)>,
--- a/src/graph/reserve.rs
+++ b/src/graph/reserve.rs
@@ -7,11 +7,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::graph::book::Entry;
-use crate::graph::book::Member;
-use crate::graph::book::Phase;
+use crate::graph::entry::Entry;
 use crate::graph::place::Candidate;
 use crate::graph::place::Request;
+use crate::graph::unit::Member;
+use crate::graph::unit::Phase;
 use crate::graph::Book;
 use crate::graph::Id;
 use crate::graph::Moment;
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -5,15 +5,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::graph::book::Cause;
-use crate::graph::book::Entry;
-use crate::graph::book::Member;
-use crate::graph::book::Phase;
-use crate::graph::book::State;
-use crate::graph::book::Unit;
-use crate::graph::book::Why;
-use crate::graph::place::fill;
+use crate::graph::entry::Entry;
 use crate::graph::place::Request;
+use crate::graph::unit::Cause;
+use crate::graph::unit::Member;
+use crate::graph::unit::Phase;
+use crate::graph::unit::State;
+use crate::graph::unit::Unit;
+use crate::graph::unit::Why;
 use crate::graph::Book;
 use crate::graph::Decision;
 use crate::graph::Id;
@@ -23,15 +22,12 @@
 use crate::graph::Resources;
 use crate::graph::Text;
 use crate::graph::UnitKey;
-use crate::graph::Wait;
 
 /// How long before a leaving worker is gone its tasks are stopped, so that
 /// their checkpoints are kept: a stop, and a report of it.
 const BEFORE_LEAVING: Duration = Duration::from_millis(1500);
 /// How long room is kept from a unit that waits while most is empty.
 pub(super) const LONGEST_IDLE: Duration = Duration::from_millis(2000);
-/// How long after it was told what a unit waits for is looked at again.
-const LOOK_AGAIN: Duration = Duration::from_millis(1000);
 /// The times of a job that may be open at once.
 const OPEN_TIMES: u32 = 64;
 
@@ -59,49 +55,12 @@
         for unit in self.waiting(now) {
             let like = (unit.id.clone(), unit.key.time, unit.key.step);
             if !without.contains(&like) && !self.try_place(&unit, now) {
-                self.tell_wait(&unit, now);
+                self.tell_wait(&unit.id, &unit.key, now);
                 without.insert(like);
             }
         }
     }
 
-    /// Tells what a unit waits for, unless that was told already.
-    fn tell_wait(&mut self, waiting: &Waiting, now: Moment) {
-        let Some(entry) = self.jobs.get(&waiting.id) else {
-            return;
-        };
-        let Some(unit) = entry.units.get(&waiting.key) else {
-            return;
-        };
-        if unit.waits.is_some_and(|(_, at)| now.now < at + LOOK_AGAIN) {
-            return;
-        }
-        let expected = self.expect(entry, waiting.key.step);
-        let request = Request::new(entry, &waiting.key, unit, expected);
-        let candidates = self.candidates(&request, now);
-        let workers = candidates.len();
-        let what = match candidates.is_empty() {
-            true => Wait::Worker,
-            false if fill(&request, candidates).is_some() => Wait::Rack,
-            false => Wait::Room,
-        };
-        let news = unit.waits.is_none_or(|(told, _)| told != what);
-        let told = Decision::Waits {
-            of: entry.subject(&waiting.key),
-            what,
-            slack: self.slack(entry, &waiting.key, now),
-            workers,
-        };
-        let entry = self.jobs.get_mut(&waiting.id);
-        let unit = entry.and_then(|e| e.units.get_mut(&waiting.key));
-        if let Some(unit) = unit {
-            unit.waits = Some((what, now.now));
-        }
-        if news {
-            self.note(told);
-        }
-    }
-
     /// Opens the units whose time is due and whose steps are waited for no
     /// longer.
     fn open_units(&mut self, now: Moment) {
@@ -262,35 +221,6 @@
         waiting
     }
 
-    /// Returns how soon a unit must go on.
-    pub(super) fn urgency(
-        &self,
-        entry: &Entry,
-        key: &UnitKey,
-        now: Moment,
-    ) -> (u8, Instant) {
-        let job = &entry.job;
-        let chain = self.chain(entry);
-        let objective = self.objective(entry);
-        // Of a job that runs several times, each time counts by itself.
-        let late = job.due(key.time).duration_since(job.accepted);
-        let due = entry.accepted + late.unwrap_or_default();
-        let latest = due + objective.saturating_sub(chain);
-        let hopeless = due + objective * 3;
-        let class = match job.priority {
-            0 => 0,
-            _ if now.now >= hopeless => 2,
-            _ => 1,
-        };
-        (class, latest)
-    }
-
-    /// Returns within which a job is to end, as far as its runs tell.
-    pub(super) fn objective(&self, entry: &Entry) -> Duration {
-        let stretch = entry.job.stretch.max(1.0);
-        self.chain(entry).mul_f64(stretch) + entry.job.target
-    }
-
     /// Finds a place for a unit, or room to be kept for it; returns whether
     /// there was any.
     fn try_place(&mut self, waiting: &Waiting, now: Moment) -> bool {
--- a/src/graph/settle.rs
+++ b/src/graph/settle.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use crate::graph::book::Cause;
-use crate::graph::book::Entry;
-use crate::graph::book::Phase;
-use crate::graph::book::State;
-use crate::graph::book::Why;
+use crate::graph::entry::Entry;
+use crate::graph::unit::Cause;
+use crate::graph::unit::Phase;
+use crate::graph::unit::State;
+use crate::graph::unit::Why;
 use crate::graph::AgentId;
 use crate::graph::Book;
 use crate::graph::Decision;
--- /dev/null
+++ b/src/graph/unit.rs
@@ -0,0 +1,131 @@
+//! A unit of a job, its runs and their members.
+
+use std::time::Instant;
+
+use crate::graph::AgentId;
+use crate::graph::Place;
+use crate::graph::Wait;
+
+/// How far a member has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum State {
+    /// Its start is ordered, once this version of the progress is written.
+    Ordered(u64),
+    /// Its worker lists it as running.
+    Present,
+    /// It has ended, or never began and never will.
+    Ended,
+}
+
+/// A task of a run.
+#[derive(Clone, Debug)]
+pub(super) struct Member {
+    pub index: u32,
+    pub place: Place,
+    pub state: State,
+    /// Whether its start was ever handed to an agent.
+    pub handed: bool,
+    pub since: Instant,
+    /// Whether an earlier planner gave it out: how long it has run is then
+    /// not known.
+    pub adopted: bool,
+    /// Whether it was ever seen at work.
+    pub worked: bool,
+    /// When it was last seen at work.
+    pub moved: Instant,
+}
+
+/// Where a unit stands.
+#[derive(Clone, Debug, Default)]
+pub(super) enum Phase {
+    /// It waits for a place.
+    #[default]
+    Waiting,
+    /// It has a place, whose room is not free yet.
+    Reserved(Vec<Member>),
+    /// A run was given out.
+    Running(Vec<Member>),
+    /// It is done.
+    Done,
+}
+
+/// Why a run is stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Why {
+    /// Its job is over.
+    Over,
+    /// Its room goes to a job of higher priority.
+    Preempted,
+    /// A member could not start, or has ended.
+    Broken,
+    /// It makes no progress.
+    Stuck,
+    /// Its worker is leaving before it would be done.
+    Leaving,
+}
+
+impl Why {
+    /// Returns the word for it in logs.
+    pub fn word(self) -> &'static str {
+        match self {
+            Why::Over => "job over",
+            Why::Preempted => "room for urgent work",
+            Why::Broken => "member lost",
+            Why::Stuck => "stuck",
+            Why::Leaving => "worker leaving",
+        }
+    }
+}
+
+/// What the ended members of a gang's run tell of why it broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Cause {
+    /// None has ended.
+    Open,
+    /// Another one ended before them: one that has not been heard of.
+    Hidden,
+    /// One of them is the cause.
+    Known,
+}
+
+/// What is placed and started as one.
+#[derive(Clone, Debug)]
+pub(super) struct Unit {
+    pub phase: Phase,
+    /// Since when it could be placed.
+    pub ready: Instant,
+    /// Before which it is not placed.
+    pub not_before: Instant,
+    /// Where it has failed.
+    pub avoid: Vec<AgentId>,
+    pub stop: Option<Why>,
+    /// What it was last seen to wait for, and when.
+    pub waits: Option<(Wait, Instant)>,
+    pub any_done: bool,
+    /// What is known of why its run broke.
+    pub cause: Cause,
+}
+
+impl Unit {
+    pub fn new(now: Instant) -> Unit {
+        Unit {
+            phase: Phase::Waiting,
+            ready: now,
+            not_before: now,
+            avoid: Vec::new(),
+            stop: None,
+            waits: None,
+            any_done: false,
+            cause: Cause::Open,
+        }
+    }
+
+    /// Returns its members that have not ended.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        let members: &[Member] = match &self.phase {
+            Phase::Reserved(members) | Phase::Running(members) => members,
+            Phase::Waiting | Phase::Done => &[],
+        };
+        members.iter().filter(|m| m.state != State::Ended)
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -31,6 +31,25 @@
     pub help: &'static str,
 }
 
+impl Field {
+    /// Returns a field.
+    pub const fn new(
+        section: &'static str,
+        key: &'static str,
+        default: Option<&'static str>,
+        expected: &'static str,
+        help: &'static str,
+    ) -> Field {
+        Field {
+            section,
+            key,
+            default,
+            expected,
+            help,
+        }
+    }
+}
+
 /// Settings that every program has.
 pub const COMMON: &[Field] = &[
     Field {
