--- a/src/explain/story.rs
+++ b/src/explain/story.rs
@@ -135,6 +135,8 @@
 struct Unit {
     /// What it waits for, and since when.
     waits: Option<(Cause, SystemTime)>,
+    /// When its run was given out.
+    placed: Option<SystemTime>,
     /// Why its run is stopped.
     why: Option<String>,
     /// How long its run is expected to take.
@@ -163,6 +165,7 @@
             "planner: a unit is placed" => {
                 self.wait_ends(line.at);
                 self.waits = None;
+                self.placed = Some(line.at);
                 self.why = None;
                 self.expected = line.time("expected_ms").unwrap_or_default();
             }
@@ -182,6 +185,9 @@
 
     fn run_ends(&mut self, line: &Line) {
         let ran = line.time("ran_ms").unwrap_or_default();
+        // A planner that took the run over counts from then only.
+        let since = self.placed.and_then(|p| line.at.duration_since(p).ok());
+        let ran = ran.max(since.unwrap_or_default());
         let how = line.text("how").unwrap_or_default();
         // The members of a gang run side by side: the first tells.
         if line.number("member").unwrap_or_default() > 0 {
