--- a/tests/it/broken.rs
+++ b/tests/it/broken.rs
@@ -17,15 +17,6 @@
     ("w6", "r2"),
 ];
 
-/// Passes time in steps that keep every agent in touch.
-fn pass(site: &mut Site, time: Duration) {
-    let tick = Duration::from_millis(500);
-    for _ in 0..time.as_millis() / tick.as_millis() {
-        site.pass(tick);
-        site.settle();
-    }
-}
-
 /// Starts a gang of three whole workers in one rack; returns the site and
 /// which workers it is on.
 fn gang() -> (Site, Vec<usize>) {
@@ -51,7 +42,7 @@
     // One worker is taken away; the others tell that a member has ended.
     let gone = site.workers.remove(on[2]);
     end(&mut site, &on[..2], How::Broken);
-    pass(&mut site, Duration::from_secs(4));
+    site.live(Duration::from_secs(4));
     assert_eq!(site.running("gang"), 3, "begun anew within 4 s");
     // Should it come back, what it tells of that run counts no more.
     let mut back = gone;
@@ -69,9 +60,9 @@
     end(&mut site, &on[..1], How::Failed);
     site.settle();
     end(&mut site, &on[1..2], How::Broken);
-    pass(&mut site, Duration::from_secs(8));
+    site.live(Duration::from_secs(8));
     assert_eq!(site.running("gang"), 0, "its leases have not run out");
-    pass(&mut site, Duration::from_secs(7));
+    site.live(Duration::from_secs(7));
     assert_eq!(site.running("gang"), 3);
 }
 
@@ -82,7 +73,7 @@
     site.workers.remove(on[1]);
     // One of the two has ended; the other may be running yet.
     end(&mut site, &on[..1], How::Broken);
-    pass(&mut site, Duration::from_secs(8));
+    site.live(Duration::from_secs(8));
     assert_eq!(site.running("gang"), 0, "their leases have not run out");
 }
 
@@ -91,12 +82,12 @@
     let (mut site, on) = gang();
     let late = site.workers.remove(on[2]);
     end(&mut site, &on[..2], How::Broken);
-    pass(&mut site, Duration::from_secs(1));
+    site.live(Duration::from_secs(1));
     assert_eq!(site.running("gang"), 0, "it may tell yet how it ended");
     let mut late = late;
     late.end(How::Done, |_| true);
     site.workers.push(late);
     site.settle();
-    pass(&mut site, Duration::from_secs(3));
+    site.live(Duration::from_secs(3));
     assert_eq!(site.running("gang"), 0, "it was done after all");
 }
--- a/tests/it/graph.rs
+++ b/tests/it/graph.rs
@@ -163,6 +163,18 @@
         self.now.wall += time;
     }
 
+    /// Passes time in steps that keep every agent in touch.
+    pub fn live(&mut self, time: Duration) {
+        let tick = Duration::from_millis(500);
+        let mut left = time;
+        while left > Duration::ZERO {
+            let step = left.min(tick);
+            self.pass(step);
+            self.settle();
+            left -= step;
+        }
+    }
+
     /// Writes what must be written.
     pub fn write(&mut self) {
         for job in self.book.unwritten(usize::MAX) {
--- a/tests/it/predict.rs
+++ b/tests/it/predict.rs
@@ -11,10 +11,14 @@
 use crate::graph::step;
 use crate::graph::Site;
 
+const THREE: &[(&str, &str)] = &[("w1", "r1"), ("w2", "r1"), ("w3", "r1")];
+
 /// Returns what a job's first run is expected to take.
-fn expected(site: &mut Site, id: &str) -> Duration {
+fn expected(site: &mut Site, id: &str, declared: Duration) -> Duration {
     site.book.take_decisions();
-    site.submit(job(id, 1, vec![step(1, 1, false)], site));
+    let mut step = step(1, 1, false);
+    step.estimate = declared;
+    site.submit(job(id, 1, vec![step], site));
     site.settle();
     let placed = |decision: &Decision| match decision {
         Decision::Placed { of, expected, .. } if &*of.job == id => {
@@ -27,6 +31,17 @@
     expected.expect("it is placed")
 }
 
+/// Lets runs be done that were declared and took so many milliseconds.
+fn learn(site: &mut Site, runs: &[(u64, u64)]) {
+    for (round, (declared, took)) in runs.iter().enumerate() {
+        let id = format!("learn{round}");
+        expected(site, &id, Duration::from_millis(*declared));
+        site.live(Duration::from_millis(*took));
+        site.end_all(&id);
+        site.settle();
+    }
+}
+
 #[test]
 fn runs_that_an_earlier_planner_gave_out_tell_nothing_of_their_length() {
     let mut site = Site::new(&[("w1", "r1")]);
@@ -37,10 +52,7 @@
         site.submit(job.clone());
     }
     site.settle();
-    for _ in 0..8 {
-        site.pass(Duration::from_millis(500));
-        site.settle();
-    }
+    site.live(Duration::from_secs(4));
     // Another planner takes over just before they end.
     let mut next = Book::new(Terms::default(), site.now);
     for job in jobs {
@@ -52,7 +64,8 @@
     site.pass(Duration::from_millis(500));
     site.workers[0].end(How::Done, |_| true);
     site.settle();
-    assert_eq!(expected(&mut site, "next"), Duration::from_secs(5));
+    let declared = Duration::from_secs(5);
+    assert_eq!(expected(&mut site, "next", declared), declared);
 }
 
 #[test]
@@ -61,11 +74,7 @@
     let mut run = |id: &str, wide: u32, took: Duration| {
         site.submit(job(id, 1, vec![step(wide, 1, false)], &site));
         site.settle();
-        let tick = Duration::from_millis(500);
-        for _ in 0..took.as_millis() / tick.as_millis() {
-            site.pass(tick);
-            site.settle();
-        }
+        site.live(took);
         site.end_all(id);
         site.settle();
     };
@@ -74,6 +83,63 @@
         run(&format!("n{number}"), 1, Duration::from_secs(4));
     }
     run("wide", 8, Duration::from_secs(1));
-    let expected = expected(&mut site, "next");
+    let declared = Duration::from_secs(5);
+    let expected = expected(&mut site, "next", declared);
     assert!(expected > Duration::from_millis(2500), "{expected:?}");
 }
+
+#[test]
+fn run_times_are_told_from_declared_ones_as_far_as_those_were_borne_out() {
+    // Declared, took (ms); then declared, and the least and most expected.
+    type Case = (&'static str, &'static [(u64, u64)], u64, (u64, u64));
+    let cases: &[Case] = &[
+        ("nothing is known", &[], 5000, (5000, 5000)),
+        (
+            "always twice as long",
+            &[(1000, 2000), (2000, 4000), (4000, 8000), (500, 1000)],
+            3000,
+            (5000, 6500),
+        ),
+        (
+            "what is declared says nothing",
+            &[(1000, 3000), (1000, 3000), (1000, 3000), (1000, 3000)],
+            1000,
+            (2900, 3100),
+        ),
+        (
+            "declared wildly, always alike",
+            &[(500, 3000), (9000, 3000), (1000, 3000), (7000, 3000)],
+            8000,
+            (2900, 3300),
+        ),
+    ];
+    for (name, runs, declared, (least, most)) in cases {
+        let mut site = Site::new(THREE);
+        learn(&mut site, runs);
+        let declared = Duration::from_millis(*declared);
+        let expected = expected(&mut site, "next", declared).as_millis();
+        let within = u128::from(*least)..=u128::from(*most);
+        assert!(within.contains(&expected), "{name}: {expected} ms");
+    }
+}
+
+#[test]
+fn the_runs_of_a_step_tell_of_its_others() {
+    let mut site = Site::new(&[("w1", "r1")]);
+    site.submit(job("j", 1, vec![step(3, 8, false)], &site));
+    site.settle();
+    for _ in 0..2 {
+        site.live(Duration::from_secs(1));
+        site.end_all("j");
+        site.book.take_decisions();
+        site.settle();
+    }
+    let decisions = site.book.take_decisions();
+    let expected = decisions.iter().find_map(|decision| match decision {
+        Decision::Placed { expected, .. } => Some(*expected),
+        _ => None,
+    });
+    // Declared as 5 s; two have taken 1 s.
+    let expected = expected.expect("the third is placed");
+    assert!(expected < Duration::from_millis(1700), "{expected:?}");
+}
