--- a/tests/it/promises.rs
+++ b/tests/it/promises.rs
@@ -437,9 +437,15 @@
         let body = job("eight", &id, 60_000);
         let eight = support::template(8, "worker", true);
         support::put(&url, "templates/eight", eight).await;
-        let path = "/v1/jobs";
-        let method = Method::POST;
-        support::call(&url, "b-token", method, path, Some(body)).await;
+        // An accepted template is in force a moment later.
+        support::until("a borrower to be accepted", || async {
+            let body = Some(body.clone());
+            let (method, path) = (Method::POST, "/v1/jobs");
+            let answer = support::call(&url, "b-token", method, path, body);
+            let accepted = answer.await?.status == StatusCode::ACCEPTED;
+            accepted.then_some(())
+        })
+        .await;
     }
     support::until("the site to be full", || async {
         let cell = support::view(&url).await?.cell?;
