Bound calls of the store by its silence, not by the whole answer's time

Cause: a read whose answer takes longer than its limit is cut and begun anew, for ever. Operators and callers make answers larger, links do not grow: 1 s at 10 Mbit/s is 1.25 MB, and a document may have 1.4 MB on the wire. The same held for the planner's listing of records (1.2 s for all pages together), its watch (0.7 s past the wait), a batch of progress (0.7 s to send) and the gateway's client (2 s).

Change: http::Client::transfer waits for an answer's head, beside what the request's bytes take at 1 Mbit/s, and then for each further piece; both clients of the store use it, and whoever had a limit of its own on a call that others make larger no longer has. Calls to workers and agents keep their deadlines.

An entry at 10 Mbit/s reads 918,564 bytes in 1086 ms. Ruled out: silence of the store (1195956 of 1,225,000 bytes had come).

Conclusion: every version is read. Reading all of it twice a second still fills the narrow link, and readiness flaps; next.

--- a/src/cell/configuration.rs
+++ b/src/cell/configuration.rs
@@ -21,8 +21,6 @@
 
 /// How often the configuration is read while nothing changes.
 const EVERY: Duration = Duration::from_millis(500);
-/// How long one read may take before it is made again.
-const CALL: Duration = Duration::from_millis(1200);
 /// How long is waited after a read that failed.
 const AGAIN: Duration = Duration::from_millis(120);
 /// How old knowledge may be for new callers to be taken: two reads, the
@@ -185,15 +183,13 @@
         let mut reached = true;
         loop {
             let sent = Instant::now();
-            let get = tokio::time::timeout(CALL, store.get(key));
-            let failed = match get.await {
-                Ok(Ok(item)) => {
+            let failed = match store.get(key).await {
+                Ok(item) => {
                     self.take(item, sent, &decode, &log);
                     self.news.notify_waiters();
                     None
                 }
-                Ok(Err(error)) => Some(error.to_string()),
-                Err(_) => Some("no answer in time".to_owned()),
+                Err(error) => Some(error.to_string()),
             };
             match (&failed, reached) {
                 (Some(error), true) => slog::warn!(log,
--- a/src/cell/session.rs
+++ b/src/cell/session.rs
@@ -32,8 +32,6 @@
 
 /// How long one call for changes waits; a lost one is noticed by then.
 const WATCH: Duration = Duration::from_millis(2000);
-/// How much longer than it waits a call for changes may take.
-const WATCH_SLACK: Duration = Duration::from_millis(700);
 /// How long is waited after a call that failed.
 const AGAIN: Duration = Duration::from_millis(100);
 /// How long a call that does not wait may take.
@@ -154,10 +152,8 @@
     /// Waits until the claim may be free.
     async fn wait(&self, revision: Revision) {
         let changes = self.store.changes(keys::PLANNER, revision, WATCH);
-        let limit = WATCH + WATCH_SLACK;
-        match tokio::time::timeout(limit, changes).await {
-            Ok(Ok(_)) => {}
-            Ok(Err(_)) | Err(_) => pause(AGAIN).await,
+        if changes.await.is_err() {
+            pause(AGAIN).await;
         }
     }
 
@@ -222,15 +218,15 @@
     }
 
     async fn list(&self, prefix: &str) -> Option<Listing> {
-        let list = tokio::time::timeout(CALL, self.store.list(prefix));
-        match list.await {
-            Ok(Ok(listing)) => Some(listing),
-            Ok(Err(error)) => {
+        // However many records there are: the store's client gives up once
+        // it says nothing.
+        match self.store.list(prefix).await {
+            Ok(listing) => Some(listing),
+            Err(error) => {
                 slog::warn!(self.log, "planner: records cannot be read";
                     "prefix" => prefix, "error" => %error);
                 None
             }
-            Err(_) => None,
         }
     }
 
@@ -245,13 +241,12 @@
     async fn follow(&self, planner: &ActorRef<Message>, mut after: Revision) {
         loop {
             let changes = self.store.changes(keys::INTAKE, after, WATCH);
-            let limit = WATCH + WATCH_SLACK;
-            let message = match tokio::time::timeout(limit, changes).await {
-                Ok(Ok(changes)) => {
+            let message = match changes.await {
+                Ok(changes) => {
                     after = after.max(changes.revision);
                     Message::Changes(changes.changes)
                 }
-                Ok(Err(Error::Forgotten(_))) => {
+                Err(Error::Forgotten(_)) => {
                     match self.list(keys::INTAKE).await {
                         Some(listing) => {
                             slog::warn!(self.log,
@@ -266,7 +261,7 @@
                         }
                     }
                 }
-                Ok(Err(_)) | Err(_) => {
+                Err(_) => {
                     pause(AGAIN).await;
                     continue;
                 }
--- a/src/cell/writer.rs
+++ b/src/cell/writer.rs
@@ -9,6 +9,7 @@
 use crate::cell::pause;
 use crate::graph::Id;
 use crate::graph::Unwritten;
+use crate::http::carriage;
 use crate::store::Compare;
 use crate::store::Error;
 use crate::store::Item;
@@ -20,7 +21,7 @@
 /// How many jobs one transaction holds: with the claim's condition, a
 /// condition, a put and a removal each, the platform's 32 entries.
 pub const MOST: usize = 10;
-/// How long an answer is waited for.
+/// How long an answer is waited for, beyond what the bytes take.
 const CALL: Duration = Duration::from_millis(700);
 /// How long is waited before a batch is tried again.
 const AGAIN: Duration = Duration::from_millis(60);
@@ -90,9 +91,10 @@
             puts.push(Put::Delete(keys::waits(&job.queue, &job.id)));
         }
     }
+    let limit = CALL + carriage(puts.iter().map(Put::bytes).sum());
     loop {
         let swap = store.swap(&conditions, puts.clone());
-        match tokio::time::timeout(CALL, swap).await {
+        match tokio::time::timeout(limit, swap).await {
             Ok(Ok(Swap::Written(revision))) => {
                 return Ok(all(batch, |_| Some(revision)));
             }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,7 +1,5 @@
 //! A client that gives each call a deadline.
 
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http_body_util::BodyExt;
@@ -10,6 +8,7 @@
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
+use hyper::header::HeaderValue;
 use hyper::header::CONTENT_TYPE;
 use hyper::Method;
 use hyper::StatusCode;
@@ -27,6 +26,15 @@
 /// The longest answer that is read.
 const MAX_ANSWER: usize = 64 << 20;
 
+/// The narrowest link that is waited for, in bytes a second: 1 Mbit/s, a
+/// tenth of the users' narrowest.
+const NARROWEST: f64 = 125_000.0;
+
+/// Returns how much longer a request may take for the bytes that it sends.
+pub fn carriage(bytes: usize) -> Duration {
+    Duration::from_secs_f64(bytes as f64 / NARROWEST)
+}
+
 /// A call that brought no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -69,6 +77,27 @@
     pub body: Bytes,
 }
 
+impl Reply {
+    /// Returns the JSON of a good answer to a call of `url`.
+    ///
+    /// # Errors
+    ///
+    /// If it is not a good one.
+    pub fn json<A: DeserializeOwned>(&self, url: &str) -> Result<A, Error> {
+        match serde_json::from_slice(&self.body) {
+            Ok(value) if self.status.is_success() => Ok(value),
+            _ => {
+                let body = String::from_utf8_lossy(&self.body);
+                Err(Error::Unexpected {
+                    url: url.to_owned(),
+                    status: self.status,
+                    body: body.chars().take(300).collect(),
+                })
+            }
+        }
+    }
+}
+
 /// An HTTP client with a pool of connections.
 #[derive(Clone, Debug)]
 pub struct Client {
@@ -108,18 +137,37 @@
         body: impl Into<Bytes>,
         deadline: Instant,
     ) -> Result<Reply, Error> {
-        let come = AtomicUsize::new(0);
-        let answer = self.exchange(method, url, headers, body.into(), &come);
-        match tokio::time::timeout_at(deadline, answer).await {
-            Ok(answer) => answer,
-            Err(_) => {
-                // Tells a transfer that was cut from silence.
-                let come = come.load(Ordering::Relaxed);
-                let reason =
-                    format!("the deadline has passed, {come} bytes had come");
-                Err(lost(url, reason))
-            }
-        }
+        let mut request = request(method, url, body.into())?;
+        request.headers_mut().extend(headers);
+        let answer = self.begin(request, url, deadline).await?;
+        receive(answer, url, || deadline).await
+    }
+
+    /// Sends a request and returns the whole answer, however long it takes
+    /// for as long as it goes on coming.
+    ///
+    /// For answers as large as others have made them: a limit on the whole
+    /// would cut them on a narrow link, and cut each further try as well.
+    ///
+    /// # Errors
+    ///
+    /// If the answer does not begin in `first`, beside what the request's
+    /// bytes take, or if nothing more of it comes for `silence`.
+    pub async fn transfer(
+        &self,
+        method: Method,
+        url: &str,
+        headers: HeaderMap,
+        body: impl Into<Bytes>,
+        first: Duration,
+        silence: Duration,
+    ) -> Result<Reply, Error> {
+        let body = body.into();
+        let begins = Instant::now() + first + carriage(body.len());
+        let mut request = request(method, url, body)?;
+        request.headers_mut().extend(headers);
+        let answer = self.begin(request, url, begins).await?;
+        receive(answer, url, || Instant::now() + silence).await
     }
 
     /// Posts JSON and returns the JSON of a good answer.
@@ -134,15 +182,29 @@
         value: &impl Serialize,
         deadline: Instant,
     ) -> Result<A, Error> {
-        let mut headers = HeaderMap::new();
-        let kind = hyper::header::HeaderValue::from_static("application/json");
-        headers.insert(CONTENT_TYPE, kind);
-        let body = serde_json::to_vec(value)
-            .map_err(|error| unreached(url, error))?;
+        let body = encode(url, value)?;
+        let reply =
+            self.call(Method::POST, url, json(), body, deadline).await?;
+        reply.json(url)
+    }
+
+    /// Posts JSON and returns the JSON of a good answer, however long it
+    /// takes for as long as it goes on coming; see [`Client::transfer`].
+    ///
+    /// # Errors
+    ///
+    /// If it does not begin or go on coming, or is not a good one.
+    pub async fn post_transfer<A: DeserializeOwned>(
+        &self,
+        url: &str,
+        value: &impl Serialize,
+        silence: Duration,
+    ) -> Result<A, Error> {
+        let body = encode(url, value)?;
         let reply = self
-            .call(Method::POST, url, headers, body, deadline)
+            .transfer(Method::POST, url, json(), body, silence, silence)
             .await?;
-        parse(url, &reply)
+        reply.json(url)
     }
 
     /// Gets the JSON of a good answer.
@@ -159,7 +221,7 @@
         let reply = self
             .call(Method::GET, url, headers, Bytes::new(), deadline)
             .await?;
-        parse(url, &reply)
+        reply.json(url)
     }
 
     /// Posts JSON and returns the answer's body in pieces.
@@ -173,60 +235,73 @@
         value: &impl Serialize,
         deadline: Instant,
     ) -> Result<Stream, Error> {
-        let body = serde_json::to_vec(value)
-            .map_err(|error| unreached(url, error))?;
+        let body = encode(url, value)?;
         let request = request(Method::POST, url, body.into())?;
-        let answer = self.inner.request(request);
-        let answer = tokio::time::timeout_at(deadline, answer).await;
-        match answer {
-            Ok(Ok(answer)) if answer.status().is_success() => Ok(Stream {
+        let answer = self.begin(request, url, deadline).await?;
+        match answer.status().is_success() {
+            true => Ok(Stream {
                 body: answer.into_body(),
                 url: url.to_owned(),
                 rest: Vec::new(),
             }),
-            Ok(Ok(answer)) => Err(Error::Unexpected {
+            false => Err(Error::Unexpected {
                 url: url.to_owned(),
                 status: answer.status(),
                 body: String::new(),
             }),
-            Ok(Err(error)) => Err(failed(url, &error)),
-            Err(_) => Err(lost(url, "the deadline has passed")),
         }
     }
 
-    async fn exchange(
+    /// Sends a request and returns the answer once its head has come.
+    async fn begin(
         &self,
-        method: Method,
+        request: hyper::Request<Full<Bytes>>,
         url: &str,
-        headers: HeaderMap,
-        body: Bytes,
-        come: &AtomicUsize,
-    ) -> Result<Reply, Error> {
-        let mut request = request(method, url, body)?;
-        request.headers_mut().extend(headers);
-        let answer = self
-            .inner
-            .request(request)
-            .await
-            .map_err(|error| failed(url, &error))?;
-        let (head, body) = answer.into_parts();
-        let body = body.map_frame(|frame| {
-            let bytes = frame.data_ref().map_or(0, Bytes::len);
-            come.fetch_add(bytes, Ordering::Relaxed);
-            frame
-        });
-        let body = Limited::new(body, MAX_ANSWER)
-            .collect()
-            .await
-            .map_err(|error| lost(url, error))?;
-        Ok(Reply {
-            status: head.status,
-            headers: head.headers,
-            body: body.to_bytes(),
-        })
+        deadline: Instant,
+    ) -> Result<hyper::Response<Incoming>, Error> {
+        let answer = self.inner.request(request);
+        match tokio::time::timeout_at(deadline, answer).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(error)) => Err(failed(url, &error)),
+            Err(_) => Err(lost(url, "the deadline has passed")),
+        }
     }
 }
 
+/// Receives the whole of an answer; each piece of it must have come by
+/// `limit`, which is asked anew for each.
+async fn receive(
+    answer: hyper::Response<Incoming>,
+    url: &str,
+    limit: impl Fn() -> Instant,
+) -> Result<Reply, Error> {
+    let (head, body) = answer.into_parts();
+    let mut body = Limited::new(body, MAX_ANSWER);
+    let mut bytes = Vec::new();
+    loop {
+        match tokio::time::timeout_at(limit(), body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                let piece = frame.into_data().unwrap_or_default();
+                bytes.extend_from_slice(&piece);
+            }
+            Ok(Some(Err(error))) => return Err(lost(url, error)),
+            Ok(None) => break,
+            // How many tells an answer that was cut from silence.
+            Err(_) => {
+                let come = bytes.len();
+                let reason =
+                    format!("the deadline has passed, {come} bytes had come");
+                return Err(lost(url, reason));
+            }
+        }
+    }
+    Ok(Reply {
+        status: head.status,
+        headers: head.headers,
+        body: bytes.into(),
+    })
+}
+
 /// The body of an answer, read a line at a time.
 pub struct Stream {
     body: Incoming,
@@ -258,6 +333,16 @@
     }
 }
 
+fn encode(url: &str, value: &impl Serialize) -> Result<Vec<u8>, Error> {
+    serde_json::to_vec(value).map_err(|error| unreached(url, error))
+}
+
+/// Returns the header of a body in JSON.
+fn json() -> HeaderMap {
+    let kind = HeaderValue::from_static("application/json");
+    HeaderMap::from_iter([(CONTENT_TYPE, kind)])
+}
+
 fn request(
     method: Method,
     url: &str,
@@ -270,20 +355,6 @@
         .map_err(|error| unreached(url, error))
 }
 
-fn parse<A: DeserializeOwned>(url: &str, reply: &Reply) -> Result<A, Error> {
-    match serde_json::from_slice(&reply.body) {
-        Ok(value) if reply.status.is_success() => Ok(value),
-        _ => {
-            let body = String::from_utf8_lossy(&reply.body);
-            Err(Error::Unexpected {
-                url: url.to_owned(),
-                status: reply.status,
-                body: body.chars().take(300).collect(),
-            })
-        }
-    }
-}
-
 fn failed(url: &str, error: &hyper_util::client::legacy::Error) -> Error {
     match error.is_connect() {
         true => unreached(url, error),
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -3,6 +3,7 @@
 mod client;
 mod server;
 
+pub use client::carriage;
 pub use client::Client;
 pub use client::Error;
 pub use client::Reply;
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -15,8 +15,8 @@
 use crate::store::Revision;
 use crate::telemetry::metrics;
 
-/// How long one call may take.
-const CALL: Duration = Duration::from_secs(2);
+/// How long the store may say nothing to a call.
+const SILENCE: Duration = Duration::from_secs(2);
 /// How many keys one call asks for.
 const PAGE: i64 = 500;
 
@@ -96,6 +96,16 @@
     Delete(String),
 }
 
+impl Put {
+    /// Returns how many bytes it sends, about.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Put::Value(key, value, _) => key.len() + value.len(),
+            Put::Delete(key) => key.len(),
+        }
+    }
+}
+
 /// The outcome of writes under conditions.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Swap {
@@ -274,7 +284,7 @@
         };
         self.count("/v3/watch");
         let url = format!("{}/v3/watch", self.url);
-        let deadline = Instant::now() + CALL;
+        let deadline = Instant::now() + SILENCE;
         let stream = self.http.stream(&url, &request, deadline).await?;
         Ok(Watch { stream })
     }
@@ -292,8 +302,7 @@
     ) -> Result<A, Error> {
         self.count(path);
         let url = format!("{}{path}", self.url);
-        let deadline = Instant::now() + CALL;
-        Ok(self.http.post(&url, request, deadline).await?)
+        Ok(self.http.post_transfer(&url, request, SILENCE).await?)
     }
 }
 
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -23,6 +23,10 @@
 ///
 /// An [`Error::Unreached`] says that the call had no effect, any other that
 /// it may have had, or may yet have.
+///
+/// A call ends by itself once the store has been silent for some time, and
+/// not while an answer is coming: who puts a limit of its own on a call whose
+/// answer others make larger and larger, never gets it over a narrow link.
 pub trait Store: Clone + Send + Sync + 'static {
     /// Returns a key, if it is there.
     fn get(
