Watch the configuration instead of reading all of it twice a second

Cause: each entry read the whole document every 500 ms. At 918,564 bytes that is 2.4 MB/s for an entry, and more than a link of 10 Mbit/s carries: knowledge grew 2.1 s old between reads, and the entry told the balancer every few seconds that it was not ready.

Change: an entry reads it once and then asks for changes, waiting up to 500 ms; an empty answer shows that what it knows was current when it asked. Whether new callers are taken follows from when the store answered last. The cursor follows the revision of an empty answer 4 s later: a store that is about to drop its history may pass over a change, and only who asks after a revision that is gone is told. The stand-in in memory now turns watches away as well when it turns calls away.

--- a/crates/landingvalve-soak/src/store.rs
+++ b/crates/landingvalve-soak/src/store.rs
@@ -169,14 +169,17 @@
         lock(&self.0).calls
     }
 
-    /// Writes as operators do: whatever the mode, and under any key.
-    pub fn write(&self, key: &str, value: String) {
+    /// Writes as operators do: whatever the mode, and under any key; returns
+    /// the revision.
+    pub fn write(&self, key: &str, value: String) -> u64 {
         let put = Put {
             key: key.to_owned(),
             value,
             lease: 0,
         };
-        lock(&self.0).apply(&[put], &[]);
+        let mut data = lock(&self.0);
+        data.apply(&[put], &[]);
+        data.rev
     }
 }
 
--- a/src/cell/configuration.rs
+++ b/src/cell/configuration.rs
@@ -15,16 +15,24 @@
 use crate::cell::reach::Reach;
 use crate::graph::Advice;
 use crate::graph::Text;
+use crate::store::Change;
+use crate::store::Changes;
+use crate::store::Error;
 use crate::store::Item;
+use crate::store::Listing;
 use crate::store::Revision;
 use crate::store::Store;
 
-/// How often the configuration is read while nothing changes.
+/// How long one call waits for a change: how often the configuration is
+/// shown to be current while nothing changes.
 const EVERY: Duration = Duration::from_millis(500);
-/// How long is waited after a read that failed.
+/// After which time a store has told whatever a watch passed over: a store
+/// that drops its history is seen to be a second late before.
+const SETTLED: Duration = Duration::from_secs(4);
+/// How long is waited after a call that failed.
 const AGAIN: Duration = Duration::from_millis(120);
-/// How old knowledge may be for new callers to be taken: two reads, the
-/// slowest of the store's answers seen with them.
+/// How long the store may have said nothing for new callers to be taken: a
+/// call that waits, a lost one, and the slowest of its answers seen.
 const IN_TOUCH: Duration = Duration::from_millis(1200);
 
 /// A queue that callers put jobs in.
@@ -86,15 +94,19 @@
 struct Known {
     current: Option<Arc<Configuration>>,
     revision: Revision,
-    /// When the last read that showed it to be current was sent.
+    /// The last revision that was seen, whether it could be read or not.
+    seen: Revision,
+    /// When the last call that showed it to be current was sent.
     confirmed: Option<Instant>,
+    /// When the store has answered last.
+    heard: Option<Instant>,
 }
 
 /// The configuration as this process knows it; it never goes back.
 #[derive(Clone, Debug, Default)]
 pub struct Source {
     known: Arc<Mutex<Known>>,
-    /// Told of each read that showed it to be current.
+    /// Told of each call that showed it to be current.
     news: Arc<Notify>,
 }
 
@@ -159,7 +171,9 @@
     /// Returns whether the store was reached lately: without it nothing can
     /// be accepted here, and callers are better off elsewhere.
     pub fn in_touch(&self) -> bool {
-        self.fresh(IN_TOUCH).is_some()
+        let known = self.lock();
+        let heard = known.heard.is_some_and(|at| at.elapsed() <= IN_TOUCH);
+        heard && known.confirmed.is_some() && known.current.is_some()
     }
 
     /// Returns the age of our knowledge in ms, for log lines.
@@ -181,14 +195,33 @@
         log: slog::Logger,
     ) {
         let mut reached = true;
+        let mut cursor: Option<Cursor> = None;
+        let mut wait = Duration::ZERO;
         loop {
             let sent = Instant::now();
-            let failed = match store.get(key).await {
-                Ok(item) => {
-                    self.take(item, sent, &decode, &log);
-                    self.news.notify_waiters();
+            let after = cursor.as_ref().map(|cursor| cursor.told);
+            let failed = match news(&store, key, after, wait).await {
+                Ok(news) => {
+                    // What has come since is asked for at once.
+                    let quiet = after.is_some() && !news.told;
+                    wait = if quiet { EVERY } else { Duration::ZERO };
+                    match &mut cursor {
+                        Some(cursor) if quiet => cursor.pass(news.revision),
+                        _ => cursor = Some(Cursor::new(news.revision)),
+                    }
+                    for item in news.items {
+                        self.take(item, sent, &decode, &log);
+                    }
+                    self.confirm(sent);
                     None
                 }
+                Err(Error::Forgotten(revision)) => {
+                    slog::debug!(log, "configuration: all is read anew";
+                        "after" => revision);
+                    cursor = None;
+                    pause(AGAIN).await;
+                    continue;
+                }
                 Err(error) => Some(error.to_string()),
             };
             match (&failed, reached) {
@@ -205,28 +238,25 @@
             }
             reached = failed.is_none();
             reach.set(reached);
-            match reached {
-                true => tokio::time::sleep(EVERY).await,
-                false => pause(AGAIN).await,
+            if !reached {
+                wait = Duration::ZERO;
+                pause(AGAIN).await;
             }
         }
     }
 
     fn take<E: std::fmt::Display>(
         &self,
-        item: Option<Item>,
+        item: Item,
         sent: Instant,
         decode: &impl Fn(&[u8]) -> Result<Configuration, E>,
         log: &slog::Logger,
     ) {
-        let Some(item) = item else {
-            return;
-        };
         let mut known = self.lock();
-        if item.modified <= known.revision {
-            known.confirmed = Some(sent);
+        if item.modified <= known.seen {
             return;
         }
+        known.seen = item.modified;
         match decode(&item.value) {
             Ok(configuration) => {
                 slog::info!(log, "configuration: a version is in force";
@@ -237,13 +267,102 @@
                     "ms" => millis(sent.elapsed()));
                 known.current = Some(Arc::new(configuration));
                 known.revision = item.modified;
-                known.confirmed = Some(sent);
             }
             Err(error) => slog::error!(log,
                 "configuration: a version cannot be read";
                 "revision" => item.modified, "error" => %error),
         }
     }
+
+    /// Takes in that all which was written before `sent` has been seen.
+    fn confirm(&self, sent: Instant) {
+        let mut known = self.lock();
+        known.heard = Some(Instant::now());
+        // Of a version that cannot be read, only its being there is known.
+        if known.seen == known.revision {
+            known.confirmed = Some(sent);
+        }
+        drop(known);
+        self.news.notify_waiters();
+    }
+}
+
+/// After which revision to ask for more.
+///
+/// An empty answer names the store's revision, but a store that is about to
+/// drop its history may pass over changes. The cursor follows empty answers
+/// some time later: whoever asks after a revision that was dropped meanwhile
+/// is told so, and reads all anew.
+#[derive(Debug)]
+struct Cursor {
+    /// Up to here, everything was told.
+    told: Revision,
+    /// Up to here, nothing was told.
+    passed: Revision,
+    /// When that will have been true of any store.
+    settles: Instant,
+}
+
+impl Cursor {
+    /// Returns a cursor after a revision up to which all was told.
+    fn new(told: Revision) -> Cursor {
+        Cursor {
+            told,
+            passed: told,
+            settles: Instant::now() + SETTLED,
+        }
+    }
+
+    /// Takes in that nothing was told up to a revision.
+    fn pass(&mut self, revision: Revision) {
+        if Instant::now() >= self.settles {
+            *self = Cursor {
+                told: self.told.max(self.passed),
+                passed: revision,
+                settles: Instant::now() + SETTLED,
+            };
+        }
+    }
+}
+
+/// What one call has shown of a key.
+struct News {
+    /// Its values, in the order in which they were written.
+    items: Vec<Item>,
+    /// Whether anything was told, of this key or another.
+    told: bool,
+    /// The store's revision.
+    revision: Revision,
+}
+
+/// Asks for what is new after a revision, or for all there is, so that a
+/// value that stays is not sent again and again.
+async fn news(
+    store: &impl Store,
+    key: &str,
+    after: Option<Revision>,
+    wait: Duration,
+) -> Result<News, Error> {
+    let Some(after) = after else {
+        let Listing { revision, items } = store.list(key).await?;
+        return Ok(News {
+            items: items.into_iter().filter(|i| i.key == key).collect(),
+            told: true,
+            revision,
+        });
+    };
+    let Changes { revision, changes } =
+        store.changes(key, after, wait).await?;
+    let told = !changes.is_empty();
+    let items = changes.into_iter().filter_map(|change| match change {
+        Change::Put(item) if item.key == key => Some(item),
+        Change::Put(_) | Change::Deleted(..) => None,
+    });
+    Ok(News {
+        items: items.collect(),
+        told,
+        revision,
+    })
 }
 
 fn millis(time: Duration) -> u64 {
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -248,11 +248,16 @@
         after: Revision,
         wait: Duration,
     ) -> Result<Changes, Error> {
+        drop(self.call()?);
         let deadline = Instant::now() + wait;
         let mut look = tokio::time::interval(Duration::from_millis(5));
         loop {
             look.tick().await;
             let data = self.lock();
+            // One that waits is cut when calls are turned away.
+            if data.refuse > 0 {
+                return Err(Error::Unreached(lost()));
+            }
             let about = |change: &&Change| {
                 let key = match change {
                     Change::Put(item) => &item.key,
