Answer every request by one version, of a bounded age

Cause: only keys were looked up in knowledge of a bounded age. A queue was taken from whatever version was known, however old: an entry that could not read the configuration answered counts of queues that were gone (200) and denied queues that were there (404), up to 13 s late. And a request that waited for fresh knowledge of keys went on with the queue of before.

--- a/src/cell/configuration.rs
+++ b/src/cell/configuration.rs
@@ -136,14 +136,6 @@
         self.lock().confirmed.map(|confirmed| confirmed.elapsed())
     }
 
-    /// Returns the configuration, waiting for one if need be.
-    pub async fn current_by(
-        &self,
-        until: Instant,
-    ) -> Option<Arc<Configuration>> {
-        self.wait(|| self.current(), until).await
-    }
-
     /// Returns the configuration if it was current at most `age` ago,
     /// waiting for that if need be.
     pub async fn fresh_by(
@@ -151,18 +143,10 @@
         age: Duration,
         until: Instant,
     ) -> Option<Arc<Configuration>> {
-        self.wait(|| self.fresh(age), until).await
-    }
-
-    async fn wait<T>(
-        &self,
-        known: impl Fn() -> Option<T>,
-        until: Instant,
-    ) -> Option<T> {
         loop {
             let news = self.news.notified();
-            if let Some(known) = known() {
-                return Some(known);
+            if let Some(fresh) = self.fresh(age) {
+                return Some(fresh);
             }
             tokio::time::timeout_at(until, news).await.ok()?;
         }
