Let a planner's watch, too, follow empty answers some time later

Cause, found by looking for the class elsewhere: a store that is about to drop its history may answer a watch emptily, and past a change that it has not told. The planner's watch went on from there: a job accepted in that second would begin only under the next planner.

Change: cell::cursor, which the configuration's watch has already, also for what entries tell the planner.

Measured: records::a_job_that_no_watch_told_begins, no start within 6 s before, one after.

--- a/src/cell/configuration.rs
+++ b/src/cell/configuration.rs
@@ -11,6 +11,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::cell::cursor::Cursor;
 use crate::cell::pause;
 use crate::cell::reach::Reach;
 use crate::graph::Advice;
@@ -26,9 +27,6 @@
 /// How long one call waits for a change: how often the configuration is
 /// shown to be current while nothing changes.
 const EVERY: Duration = Duration::from_millis(500);
-/// After which time a store has told whatever a watch passed over: a store
-/// that drops its history is seen to be a second late before.
-const SETTLED: Duration = Duration::from_secs(4);
 /// How long is waited after a call that failed.
 const AGAIN: Duration = Duration::from_millis(120);
 /// How long the store may have said nothing for new callers to be taken: a
@@ -183,14 +181,14 @@
         let mut wait = Duration::ZERO;
         loop {
             let sent = Instant::now();
-            let after = cursor.as_ref().map(|cursor| cursor.told);
+            let after = cursor.as_ref().map(Cursor::after);
             let failed = match news(&store, key, after, wait).await {
                 Ok(news) => {
                     // What has come since is asked for at once.
                     let quiet = after.is_some() && !news.told;
                     wait = if quiet { EVERY } else { Duration::ZERO };
                     match &mut cursor {
-                        Some(cursor) if quiet => cursor.pass(news.revision),
+                        Some(cursor) if quiet => cursor.passed(news.revision),
                         _ => cursor = Some(Cursor::new(news.revision)),
                     }
                     for item in news.items {
@@ -271,44 +269,6 @@
     }
 }
 
-/// After which revision to ask for more.
-///
-/// An empty answer names the store's revision, but a store that is about to
-/// drop its history may pass over changes. The cursor follows empty answers
-/// some time later: whoever asks after a revision that was dropped meanwhile
-/// is told so, and reads all anew.
-#[derive(Debug)]
-struct Cursor {
-    /// Up to here, everything was told.
-    told: Revision,
-    /// Up to here, nothing was told.
-    passed: Revision,
-    /// When that will have been true of any store.
-    settles: Instant,
-}
-
-impl Cursor {
-    /// Returns a cursor after a revision up to which all was told.
-    fn new(told: Revision) -> Cursor {
-        Cursor {
-            told,
-            passed: told,
-            settles: Instant::now() + SETTLED,
-        }
-    }
-
-    /// Takes in that nothing was told up to a revision.
-    fn pass(&mut self, revision: Revision) {
-        if Instant::now() >= self.settles {
-            *self = Cursor {
-                told: self.told.max(self.passed),
-                passed: revision,
-                settles: Instant::now() + SETTLED,
-            };
-        }
-    }
-}
-
 /// What one call has shown of a key.
 struct News {
     /// Its values, in the order in which they were written.
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -14,6 +14,7 @@
 pub mod advice;
 pub mod claim;
 pub mod configuration;
+mod cursor;
 pub mod keys;
 pub mod member;
 pub mod planner;
--- a/src/cell/session.rs
+++ b/src/cell/session.rs
@@ -15,6 +15,7 @@
 use crate::cell::claim::Holder;
 use crate::cell::claim::Tried;
 use crate::cell::configuration::Source;
+use crate::cell::cursor::Cursor;
 use crate::cell::keys;
 use crate::cell::pause;
 use crate::cell::planner::Message;
@@ -25,6 +26,7 @@
 use crate::cell::rpc::CellServer;
 use crate::graph::Report;
 use crate::graph::Terms;
+use crate::store::Changes;
 use crate::store::Error;
 use crate::store::Listing;
 use crate::store::Revision;
@@ -238,13 +240,18 @@
     }
 
     /// Tells the planner what entries tell it.
-    async fn follow(&self, planner: &ActorRef<Message>, mut after: Revision) {
+    async fn follow(&self, planner: &ActorRef<Message>, after: Revision) {
+        let mut cursor = Cursor::new(after);
         loop {
+            let after = cursor.after();
             let changes = self.store.changes(keys::INTAKE, after, WATCH);
             let message = match changes.await {
-                Ok(changes) => {
-                    after = after.max(changes.revision);
-                    Message::Changes(changes.changes)
+                Ok(Changes { revision, changes }) => {
+                    match changes.is_empty() {
+                        true => cursor.passed(revision),
+                        false => cursor.told(revision),
+                    }
+                    Message::Changes(changes)
                 }
                 Err(Error::Forgotten(_)) => {
                     match self.list(keys::INTAKE).await {
@@ -252,7 +259,7 @@
                             slog::warn!(self.log,
                                 "planner: changes were missed, all is read";
                                 "from" => after, "to" => listing.revision);
-                            after = listing.revision;
+                            cursor.told(listing.revision);
                             Message::Listing(listing)
                         }
                         None => {
