Ask at once after an answer that came late

Cause: an empty answer shows what was current when it was asked for. One that comes late, because the process stood still or the store was slow, leaves knowledge that is old, and the next call waits 500 ms before it says more: requests waited that long, or were refused.

Change: after such an answer, as after a version and after a failure, the next call does not wait; and after a failure it is made within 60 to 120 ms (120 to 240 before), since requests wait for it now.

--- a/src/cell/configuration.rs
+++ b/src/cell/configuration.rs
@@ -27,8 +27,11 @@
 /// How long one call waits for a change: how often the configuration is
 /// shown to be current while nothing changes.
 const EVERY: Duration = Duration::from_millis(500);
+/// How much longer than it waits a call takes if it is late: the slowest of
+/// the store's answers seen.
+const LATE: Duration = Duration::from_millis(250);
 /// How long is waited after a call that failed.
-const AGAIN: Duration = Duration::from_millis(120);
+const AGAIN: Duration = Duration::from_millis(60);
 /// How long the store may have said nothing for new callers to be taken: a
 /// call that waits, a lost one, and the slowest of its answers seen.
 const IN_TOUCH: Duration = Duration::from_millis(1200);
@@ -184,9 +187,14 @@
             let after = cursor.as_ref().map(Cursor::after);
             let failed = match news(&store, key, after, wait).await {
                 Ok(news) => {
-                    // What has come since is asked for at once.
                     let quiet = after.is_some() && !news.told;
-                    wait = if quiet { EVERY } else { Duration::ZERO };
+                    // What was told, or came late, says little of now: a
+                    // process that stood still knows at once what it may do.
+                    let late = sent.elapsed() > EVERY + LATE;
+                    wait = match quiet && !late {
+                        true => EVERY,
+                        false => Duration::ZERO,
+                    };
                     match &mut cursor {
                         Some(cursor) if quiet => cursor.passed(news.revision),
                         _ => cursor = Some(Cursor::new(news.revision)),
