Show metrics on the platform, in the format that scrapers read

Cause: on call there were only lines; a weak entry that is never ready shows in a figure at once (its age of the configuration, its store's outcomes).

Histograms have buckets in seconds. Labels are from fixed sets.

Still missing of what was asked: histograms of each hop of one job, log bytes a job.

--- a/src/cell/admission.rs
+++ b/src/cell/admission.rs
@@ -23,6 +23,8 @@
 use crate::store::Put;
 use crate::store::Store;
 use crate::store::Swap;
+use crate::telemetry::metrics;
+use crate::telemetry::metrics::label;
 
 /// How long a store that turns calls away is asked again before a job is
 /// refused: the caller is told at once when to come back.
@@ -114,6 +116,13 @@
                 Submitted::Refused
             }
         };
+        let outcome = match submitted {
+            Submitted::Accepted => "accepted",
+            Submitted::Refused => "refused",
+            Submitted::Unsure => "unsure",
+        };
+        let labels = [label("outcome", outcome)];
+        metrics::get().submissions.add(1, &labels);
         slog::info!(self.log, "entry: a job was submitted";
             "job" => &*job.id, "queue" => &*job.queue,
             "account" => &*job.account, "outcome" => ?submitted);
--- a/src/cell/configuration.rs
+++ b/src/cell/configuration.rs
@@ -23,6 +23,7 @@
 use crate::store::Listing;
 use crate::store::Revision;
 use crate::store::Store;
+use crate::telemetry::metrics;
 
 /// How long one call waits for a change: how often the configuration is
 /// shown to be current while nothing changes.
@@ -255,6 +256,9 @@
                     "queues" => configuration.queues.len(),
                     "bytes" => item.value.len(),
                     "ms" => millis(sent.elapsed()));
+                let metrics = metrics::get();
+                metrics.configuration.record(item.modified, &[]);
+                metrics.bytes.record(item.value.len() as u64, &[]);
                 known.current = Some(Arc::new(configuration));
                 known.revision = item.modified;
             }
--- a/src/cell/member/act.rs
+++ b/src/cell/member/act.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use tokio::time::error::Elapsed;
 use tokio::time::Instant;
 
 use crate::cell::member::state::Key;
@@ -18,6 +19,8 @@
 use crate::graph::Stop;
 use crate::store::Revision;
 use crate::store::Store;
+use crate::telemetry::metrics;
+use crate::telemetry::metrics::label;
 
 /// How long the answer to an order is waited for.
 const ANSWER: Duration = Duration::from_millis(500);
@@ -56,7 +59,9 @@
         let member = self.clone();
         tokio::spawn(async move {
             let answer = member.0.worker.pace(&call, &pace);
+            let sent = Instant::now();
             let answer = tokio::time::timeout(ANSWER, answer).await;
+            measure("pace", sent, &answer);
             slog::info!(member.0.config.log, "agent: a pace was ordered";
                 "task" => %pace.task, "run" => pace.run,
                 "percent" => pace.percent, "life" => &*call.life,
@@ -134,7 +139,9 @@
             return barred && self.refuse(call, key, Refusal::Leaving);
         }
         let answer = self.0.worker.start(call, start, expires);
+        let sent = Instant::now();
         let answer = tokio::time::timeout(ANSWER, answer).await;
+        measure("start", sent, &answer);
         slog::info!(self.0.config.log, "agent: a start was ordered";
             "task" => %key.0, "run" => key.1, "life" => &*call.life,
             "token" => call.token, "outcome" => ?answer);
@@ -183,7 +190,9 @@
             run: key.1,
         };
         let answer = self.0.worker.stop(call, &stop);
+        let sent = Instant::now();
         let answer = tokio::time::timeout(ANSWER, answer).await;
+        measure("stop", sent, &answer);
         slog::info!(self.0.config.log, "agent: a stop was ordered";
             "task" => %key.0, "run" => key.1, "life" => &*call.life,
             "token" => call.token, "outcome" => ?answer);
@@ -234,3 +243,21 @@
         true
     }
 }
+
+fn measure(
+    kind: &'static str,
+    sent: Instant,
+    answer: &Result<Result<WorkerTime, Error>, Elapsed>,
+) {
+    let outcome = match answer {
+        Ok(Ok(_)) => "done",
+        Ok(Err(Error::Refused(_))) => "refused",
+        Ok(Err(Error::Late(_))) => "late",
+        Ok(Err(Error::Fenced)) => "fenced",
+        Ok(Err(Error::OtherLife)) => "another life",
+        Ok(Err(Error::Lost(_))) | Err(_) => "no answer",
+    };
+    let labels = [label("kind", kind), label("outcome", outcome)];
+    let took = sent.elapsed().as_secs_f64();
+    metrics::get().order.record(took, &labels);
+}
--- a/src/cell/member/look.rs
+++ b/src/cell/member/look.rs
@@ -11,6 +11,8 @@
 use crate::cell::worker::Look;
 use crate::cell::worker::Worker;
 use crate::store::Store;
+use crate::telemetry::metrics;
+use crate::telemetry::metrics::label;
 
 /// How long a look waits for an end.
 const WAIT: Duration = Duration::from_millis(1000);
@@ -65,6 +67,7 @@
     /// Returns how long the next look may wait.
     async fn looked(&self, plan: &Plan, look: Look) -> Duration {
         let unnoted = look.lists.ended.iter().any(|e| e.number > plan.noted);
+        count("answered");
         if self.lock().looked(plan, look, Instant::now()) {
             self.0.news.notify_one();
         }
@@ -79,6 +82,10 @@
     }
 
     async fn unlooked(&self, plan: &Plan, error: Error) -> Duration {
+        count(match &error {
+            Error::Lost(_) => "no answer",
+            _ => "turned away",
+        });
         match &error {
             Error::Fenced => self.fenced(plan.call.token),
             error => slog::debug!(self.0.config.log,
@@ -103,3 +110,7 @@
         Duration::ZERO
     }
 }
+
+fn count(outcome: &'static str) {
+    metrics::get().looks.add(1, &[label("outcome", outcome)]);
+}
--- a/src/cell/session.rs
+++ b/src/cell/session.rs
@@ -8,6 +8,7 @@
 use ractor::Actor;
 use ractor::ActorRef;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::cell::advice::Desk;
 use crate::cell::claim;
@@ -31,6 +32,8 @@
 use crate::store::Listing;
 use crate::store::Revision;
 use crate::store::Store;
+use crate::telemetry::metrics;
+use crate::telemetry::metrics::label;
 
 /// How long one call for changes waits; a lost one is noticed by then.
 const WATCH: Duration = Duration::from_millis(2000);
@@ -129,10 +132,12 @@
         let tried = claim::try_claim(&self.store, &self.holder);
         match tokio::time::timeout(CALL * 2, tried).await {
             Ok(Ok(Tried::Held(claim))) => {
+                count_claim("made");
                 slog::info!(self.log, "planner: has claimed";
                     "token" => claim.token);
                 let planned = self.plan(&claim, stop).await;
                 self.host.set(None);
+                count_claim("given up");
                 slog::info!(self.log, "planner: has stepped down";
                     "token" => claim.token, "outcome" => ?planned);
                 // The process may claim anew once its claim is over.
@@ -164,6 +169,7 @@
         claim: &Claim,
         mut stop: watch::Receiver<bool>,
     ) -> Result<(), Error> {
+        let claimed = Instant::now();
         let (progress, intake) = tokio::select! {
             read = self.read(claim) => read?,
             () = self.renew(claim) => return Ok(()),
@@ -191,6 +197,8 @@
                 return Ok(());
             }
         };
+        let took = claimed.elapsed().as_secs_f64();
+        metrics::get().takeover.record(took, &[]);
         self.host.set(Some(planner.clone()));
         tokio::select! {
             () = self.renew(claim) => {}
@@ -279,3 +287,7 @@
         }
     }
 }
+
+fn count_claim(what: &'static str) {
+    metrics::get().claims.add(1, &[label("what", what)]);
+}
--- a/src/cell/teller.rs
+++ b/src/cell/teller.rs
@@ -6,9 +6,12 @@
 
 use crate::graph::Decision;
 use crate::graph::Life;
+use crate::graph::Outcome;
 use crate::graph::Subject;
 use crate::graph::Wait;
 use crate::store::Revision;
+use crate::telemetry::metrics;
+use crate::telemetry::metrics::label;
 
 /// How many lines of one kind are written a second: a hundred jobs that come
 /// at once are told whole, and a storm costs no more than that.
@@ -48,6 +51,7 @@
     /// Writes a decision, or counts it where the budget is spent. What a job
     /// came to is always written.
     pub fn tell(&mut self, decision: &Decision, token: Revision) {
+        measure(decision);
         self.renew();
         let budget = match decision {
             Decision::Known { .. }
@@ -82,6 +86,49 @@
     }
 }
 
+/// Counts a decision, whether it is written or not.
+fn measure(decision: &Decision) {
+    let metrics = metrics::get();
+    let kind = match decision {
+        Decision::Known { .. } => "worker known",
+        Decision::Gone { .. } => "worker gone",
+        Decision::Apart { .. } => "worker kept apart",
+        Decision::Paced { .. } => "paced",
+        Decision::Waits { what, .. } => match what {
+            Wait::Worker => "waits for a worker",
+            Wait::Room => "waits for room",
+            Wait::Rack => "waits for a rack",
+        },
+        Decision::Kept { .. } => "room kept",
+        Decision::Placed { waited, .. } => {
+            metrics.wait.record(waited.as_secs_f64(), &[]);
+            "placed"
+        }
+        Decision::Stopped { .. } => "stopped",
+        Decision::Ended { how, ran, .. } => {
+            metrics.run.record(ran.as_secs_f64(), &[label("how", how)]);
+            "run ended"
+        }
+        Decision::Over {
+            outcome,
+            took,
+            objective,
+            ..
+        } => {
+            let outcome = match outcome {
+                Outcome::Succeeded => "succeeded",
+                Outcome::Failed => "failed",
+                Outcome::Cancelled => "cancelled",
+            };
+            let late = if took > objective { "yes" } else { "no" };
+            let labels = [label("outcome", outcome), label("late", late)];
+            metrics.job.record(took.as_secs_f64(), &labels);
+            "job ended"
+        }
+    };
+    metrics.decisions.add(1, &[label("kind", kind)]);
+}
+
 fn write(log: &slog::Logger, decision: &Decision, token: Revision) {
     match decision {
         Decision::Known { agent, life } => slog::info!(log,
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -6,6 +6,7 @@
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
+use opentelemetry::KeyValue;
 
 /// The name and meaning of a metric, for the operators' page.
 #[derive(Clone, Copy, Debug)]
@@ -48,8 +49,60 @@
         "landingvalve_held",
         "Accelerators held or in use, by worker.",
     ),
+    about(
+        "landingvalve_request_seconds",
+        "Time of an answer to a caller, by method and status.",
+    ),
+    about("landingvalve_submissions", "Submissions, by outcome."),
+    about(
+        "landingvalve_store_seconds",
+        "Time of a call of the platform's store, by call and outcome.",
+    ),
+    about("landingvalve_decisions", "Decisions of a planner, by kind."),
+    about(
+        "landingvalve_wait_seconds",
+        "Waiting of a unit until it was placed.",
+    ),
+    about(
+        "landingvalve_run_seconds",
+        "Length of runs that ended, by how.",
+    ),
+    about(
+        "landingvalve_job_seconds",
+        "Acceptance to end of a job, by outcome and whether it was late.",
+    ),
+    about(
+        "landingvalve_order_seconds",
+        "Time of an order to a worker, by kind and outcome.",
+    ),
+    about("landingvalve_looks", "Looks at the worker, by outcome."),
+    about("landingvalve_claims", "Claims, by what became of them."),
+    about(
+        "landingvalve_ready",
+        "Whether new callers are taken, 0 or 1.",
+    ),
+    about(
+        "landingvalve_configuration_age_seconds",
+        "Age of the configuration that a request was answered by.",
+    ),
+    about(
+        "landingvalve_configuration_bytes",
+        "Size of the configuration in force.",
+    ),
 ];
 
+/// The bounds of histograms, in seconds: from an answer of the store to the
+/// longest job.
+const BOUNDS: [f64; 13] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 120.0,
+];
+
+/// Returns what a metric says, if it is one of [`ALL`].
+pub fn help(name: &str) -> Option<&'static str> {
+    let about = ALL.iter().find(|about| about.name == name)?;
+    Some(about.help)
+}
+
 const fn about(name: &'static str, help: &'static str) -> About {
     About { name, help }
 }
@@ -86,6 +139,37 @@
     pub configuration: Gauge<i64>,
     /// Accelerators held or in use.
     pub held: Gauge<u64>,
+    /// Answers to callers, in seconds.
+    pub request: Histogram<f64>,
+    /// Submissions.
+    pub submissions: Counter<u64>,
+    /// Calls of the platform's store, in seconds.
+    pub store: Histogram<f64>,
+    /// Decisions of a planner.
+    pub decisions: Counter<u64>,
+    /// Waiting of units that were placed, in seconds.
+    pub wait: Histogram<f64>,
+    /// Runs that ended, in seconds.
+    pub run: Histogram<f64>,
+    /// Jobs that ended, in seconds.
+    pub job: Histogram<f64>,
+    /// Orders to a worker, in seconds.
+    pub order: Histogram<f64>,
+    /// Looks at the worker.
+    pub looks: Counter<u64>,
+    /// Claims.
+    pub claims: Counter<u64>,
+    /// Whether new callers are taken.
+    pub ready: Gauge<u64>,
+    /// Age of the configuration of each answer, in seconds.
+    pub age: Histogram<f64>,
+    /// Size of the configuration in force, in bytes.
+    pub bytes: Gauge<u64>,
+}
+
+/// Returns a label of a measurement.
+pub fn label(key: &'static str, value: &'static str) -> KeyValue {
+    KeyValue::new(key, value)
 }
 
 /// Returns the instruments of this process.
@@ -93,25 +177,45 @@
     static METRICS: OnceLock<Metrics> = OnceLock::new();
     METRICS.get_or_init(|| {
         let meter = global::meter("landingvalve");
-        let counter = |at: usize| meter.u64_counter(ALL[at].name).build();
-        let histogram = |at: usize| meter.f64_histogram(ALL[at].name).build();
-        let gauge = |at: usize| meter.u64_gauge(ALL[at].name).build();
+        let counter = |name: &'static str| meter.u64_counter(name).build();
+        let gauge = |name: &'static str| meter.u64_gauge(name).build();
+        let histogram = |name: &'static str| {
+            let histogram = meter.f64_histogram(name);
+            histogram.with_boundaries(BOUNDS.to_vec()).build()
+        };
         Metrics {
-            admitted: counter(0),
-            ended: counter(1),
-            starts: counter(2),
-            stops: counter(3),
-            refused: counter(4),
-            store_calls: counter(5),
-            start: histogram(6),
-            step: histogram(7),
-            takeover: histogram(8),
-            waiting: gauge(9),
-            running: gauge(10),
-            fragmentation: meter.f64_gauge(ALL[11].name).build(),
-            missing: gauge(12),
-            configuration: meter.i64_gauge(ALL[13].name).build(),
-            held: gauge(14),
+            admitted: counter("landingvalve_jobs_admitted"),
+            ended: counter("landingvalve_jobs_ended"),
+            starts: counter("landingvalve_starts"),
+            stops: counter("landingvalve_stops"),
+            refused: counter("landingvalve_refused"),
+            store_calls: counter("landingvalve_store_calls"),
+            start: histogram("landingvalve_start_seconds"),
+            step: histogram("landingvalve_step_seconds"),
+            takeover: histogram("landingvalve_takeover_seconds"),
+            waiting: gauge("landingvalve_jobs_waiting"),
+            running: gauge("landingvalve_jobs_running"),
+            fragmentation: meter
+                .f64_gauge("landingvalve_fragmentation")
+                .build(),
+            missing: gauge("landingvalve_guarantee_missing"),
+            configuration: meter
+                .i64_gauge("landingvalve_configuration")
+                .build(),
+            held: gauge("landingvalve_held"),
+            request: histogram("landingvalve_request_seconds"),
+            submissions: counter("landingvalve_submissions"),
+            store: histogram("landingvalve_store_seconds"),
+            decisions: counter("landingvalve_decisions"),
+            wait: histogram("landingvalve_wait_seconds"),
+            run: histogram("landingvalve_run_seconds"),
+            job: histogram("landingvalve_job_seconds"),
+            order: histogram("landingvalve_order_seconds"),
+            looks: counter("landingvalve_looks"),
+            claims: counter("landingvalve_claims"),
+            ready: gauge("landingvalve_ready"),
+            age: histogram("landingvalve_configuration_age_seconds"),
+            bytes: gauge("landingvalve_configuration_bytes"),
         }
     })
 }
--- a/src/telemetry/page.rs
+++ b/src/telemetry/page.rs
@@ -1,4 +1,4 @@
-//! The local page of metrics, in plain text.
+//! The local page of metrics, in the text format that scrapers read.
 
 use std::fmt::Write;
 use std::sync::Arc;
@@ -17,6 +17,7 @@
 use opentelemetry_sdk::metrics::Temporality;
 
 use crate::http;
+use crate::telemetry::metrics;
 
 /// The last state of all metrics, as a page.
 #[derive(Clone, Default)]
@@ -60,6 +61,9 @@
         let all = metrics.scope_metrics().flat_map(|scope| scope.metrics());
         for metric in all {
             let name = metric.name();
+            let help = metrics::help(name).unwrap_or_default();
+            let _ = writeln!(text, "# HELP {name} {help}");
+            let _ = writeln!(text, "# TYPE {name} {}", kind(metric.data()));
             match metric.data() {
                 AggregatedMetrics::F64(data) => lines(&mut text, name, data),
                 AggregatedMetrics::U64(data) => lines(&mut text, name, data),
@@ -103,27 +107,59 @@
         }
         MetricData::Histogram(histogram) => {
             for point in histogram.data_points() {
-                let labels = labels(point.attributes());
+                let own = pairs(point.attributes());
+                let mut sum = 0;
+                let bounds = point.bounds().map(|b| b.to_string());
+                let bounds = bounds.chain(["+Inf".to_owned()]);
+                for (bound, count) in bounds.zip(point.bucket_counts()) {
+                    sum += count;
+                    let bound = [format!("le=\"{bound}\"")];
+                    let all = [own.as_slice(), bound.as_slice()].concat();
+                    let labels = braces(&all);
+                    let _ = writeln!(text, "{name}_bucket{labels} {sum}");
+                }
+                let labels = braces(&own);
                 let count = point.count();
-                let sum = point.sum();
+                let total = point.sum();
                 let _ = writeln!(text, "{name}_count{labels} {count}");
-                let _ = writeln!(text, "{name}_sum{labels} {sum}");
-                let zero = point.max();
-                if let Some(most) = zero {
-                    let _ = writeln!(text, "{name}_max{labels} {most}");
-                }
+                let _ = writeln!(text, "{name}_sum{labels} {total}");
             }
         }
         MetricData::ExponentialHistogram(_) => {}
     }
 }
 
+/// Returns the type that scrapers know a metric by.
+fn kind(data: &AggregatedMetrics) -> &'static str {
+    match data {
+        AggregatedMetrics::F64(data) => kind_of(data),
+        AggregatedMetrics::U64(data) => kind_of(data),
+        AggregatedMetrics::I64(data) => kind_of(data),
+    }
+}
+
+fn kind_of<T>(data: &MetricData<T>) -> &'static str {
+    match data {
+        MetricData::Gauge(_) => "gauge",
+        MetricData::Sum(_) => "counter",
+        MetricData::Histogram(_) => "histogram",
+        MetricData::ExponentialHistogram(_) => "untyped",
+    }
+}
+
 fn labels<'a>(attributes: impl Iterator<Item = &'a KeyValue>) -> String {
-    let pairs: Vec<String> = attributes
+    braces(&pairs(attributes))
+}
+
+fn pairs<'a>(attributes: impl Iterator<Item = &'a KeyValue>) -> Vec<String> {
+    attributes
         .map(|kv| format!("{}=\"{}\"", kv.key, kv.value))
-        .collect();
-    match pairs.is_empty() {
-        true => String::new(),
-        false => format!("{{{}}}", pairs.join(",")),
+        .collect()
+}
+
+fn braces(pairs: &[String]) -> String {
+    match pairs {
+        [] => String::new(),
+        pairs => format!("{{{}}}", pairs.join(",")),
     }
 }
--- a/tests/telemetry/main.rs
+++ b/tests/telemetry/main.rs
@@ -44,8 +44,13 @@
     drop(admit);
     drop(call);
     metrics::get().starts.add(1, &[]);
+    for seconds in [0.004, 0.3, 0.3, 700.0] {
+        let labels = [metrics::label("method", "GET")];
+        metrics::get().request.record(seconds, &labels);
+    }
     let page = telemetry.page().text().await;
     assert!(page.contains("landingvalve_starts "), "{page}");
+    scraped(&page);
     tokio::task::spawn_blocking(|| telemetry.stop())
         .await
         .unwrap();
@@ -60,3 +65,28 @@
         assert!(paths.iter().any(|sent| sent == path), "{paths:?}");
     }
 }
+
+/// Reads a page as a scraper does.
+fn scraped(page: &str) {
+    let name = "landingvalve_request_seconds";
+    assert!(page.contains(&format!("# TYPE {name} histogram")), "{page}");
+    let mut buckets = Vec::new();
+    for line in page.lines().filter(|line| !line.starts_with('#')) {
+        let (series, value) = line.rsplit_once(' ').expect("a value");
+        let value: f64 = value.parse().expect("a number");
+        if let Some(rest) = series.strip_prefix(&format!("{name}_bucket")) {
+            let bound = rest.split("le=\"").nth(1).expect("a bound");
+            let bound = bound.split('"').next().expect("a bound");
+            buckets.push((bound.to_owned(), value));
+        }
+    }
+    let at = |bound: &str| buckets.iter().find(|(b, _)| b == bound);
+    let count = |bound: &str| at(bound).map(|(_, count)| *count);
+    assert_eq!(count("0.005"), Some(1.0), "{buckets:?}");
+    assert_eq!(count("0.5"), Some(3.0), "{buckets:?}");
+    assert_eq!(count("120"), Some(3.0), "{buckets:?}");
+    assert_eq!(count("+Inf"), Some(4.0), "{buckets:?}");
+    assert!(buckets.is_sorted_by(|a, b| a.1 <= b.1), "{buckets:?}");
+    let total = format!("{name}_count{{method=\"GET\"}} 4");
+    assert!(page.contains(&total), "{page}");
+}
