Soak: operators change the configuration, and fleets keep to an address

Cause: the soak wrote one configuration and never another, so that nothing in it could show an entry that answers by an old one; and soaks side by side met, as their ports are found free and taken later.

Change: a fault that writes another version, of up to 4500 queues; any entry may be asked at any time for the queue that only the present version has, and for that of the version before. From 2 s after a change on, the first must not be denied and the second not be served, whatever else fails. A fleet listens on a loopback address made from its process's id.

--- a/crates/landingvalve-soak/src/faults.rs
+++ b/crates/landingvalve-soak/src/faults.rs
@@ -5,6 +5,9 @@
 use crate::store;
 use crate::worker;
 
+/// Queues of a document that nearly fills the store's largest value.
+const MANY: usize = 4500;
+
 /// What a fault strikes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
@@ -30,6 +33,8 @@
     Store(store::Mode),
     /// The store forgets its history.
     Forget,
+    /// Operators change the configuration, and it has so many idle queues.
+    Configure(usize),
 }
 
 /// A fault, and how long it lasts.
@@ -53,7 +58,7 @@
     let at = random.usize(..workers);
     let share = 0.2 + 0.4 * random.f64();
     let sound = worker::Mode::default();
-    let fault = match random.u32(..18) {
+    let fault = match random.u32(..22) {
         0 | 1 => Fault::KillEntry(entry),
         2 => Fault::PauseEntry(entry),
         3 => Fault::StopEntry(entry),
@@ -85,7 +90,8 @@
         }
         15 => Fault::Store(store::Mode::Lossy(share)),
         16 => Fault::Store(store::Mode::Late(share)),
-        _ => Fault::Forget,
+        17 => Fault::Forget,
+        _ => Fault::Configure([0, 500, MANY][random.usize(..3)]),
     };
     Strike {
         fault,
--- a/crates/landingvalve-soak/src/fleet.rs
+++ b/crates/landingvalve-soak/src/fleet.rs
@@ -126,12 +126,19 @@
     }
 }
 
-/// Returns an address on loopback that nobody listens on.
+/// Returns the loopback address of this process's fleet, any port: ports are
+/// found free and taken later, so that two fleets on one address would meet.
+pub fn any_port() -> SocketAddr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    SocketAddr::from(([127, high, middle, low], 0))
+}
+
+/// Returns an address of this process's fleet that nobody listens on.
 ///
 /// # Errors
 ///
 /// If there is none.
 pub fn free_address() -> eyre::Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0").wrap_err("a port")?;
+    let listener = TcpListener::bind(any_port()).wrap_err("a port")?;
     Ok(listener.local_addr()?)
 }
--- a/crates/landingvalve-soak/src/lib.rs
+++ b/crates/landingvalve-soak/src/lib.rs
@@ -2,13 +2,14 @@
 //!
 //! Entries and agents run as separate processes on loopback, against
 //! stand-ins that speak the users' protocol: a [`store`] and [`worker`]s.
-//! [`faults`] are injected from outside, by a seed; [`callers`] submit,
-//! ask, cancel and ask again; [`promise`] checks what workers and callers
+//! [`faults`] are injected from outside, by a seed; [`operators`] change the
+//! configuration; [`callers`] submit, ask, cancel and ask again; [`promise`] checks what workers and callers
 //! see. [`soak`] ties it together and reports.
 
 pub mod callers;
 pub mod faults;
 pub mod fleet;
+pub mod operators;
 pub mod promise;
 pub mod soak;
 pub mod store;
--- a/crates/landingvalve-soak/src/promise.rs
+++ b/crates/landingvalve-soak/src/promise.rs
@@ -239,6 +239,11 @@
         open.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Takes note of a rule that is broken.
+    pub fn breaks(&self, rule: &str, what: String) {
+        lock(&self.0).broken(rule, what);
+    }
+
     /// Returns what was broken, once every submission has its answer.
     pub fn broken(&self) -> Vec<String> {
         let seen = lock(&self.0);
--- a/crates/landingvalve-soak/src/soak.rs
+++ b/crates/landingvalve-soak/src/soak.rs
@@ -8,19 +8,17 @@
 use landingvalve::http;
 use landingvalve::http::Server;
 use serde::Serialize;
-use serde_json::json;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use crate::callers::Caller;
-use crate::callers::CALLED;
-use crate::callers::KEY;
-use crate::callers::PREFIX;
 use crate::faults;
 use crate::faults::Fault;
 use crate::faults::Strike;
+use crate::fleet::any_port;
 use crate::fleet::free_address;
 use crate::fleet::Program;
+use crate::operators::Operators;
 use crate::promise::Counts;
 use crate::promise::JobId;
 use crate::promise::Promise;
@@ -83,6 +81,7 @@
     /// Draws what callers do.
     random: fastrand::Rng,
     store: Store,
+    operators: Operators,
     workers: Vec<Worker>,
     entries: Vec<Program>,
     agents: Vec<Program>,
@@ -119,14 +118,14 @@
     async fn start(plan: Plan) -> eyre::Result<Soak> {
         let promise = Promise::default();
         let store = Store::new(plan.seed);
-        store.write("op/config", configuration());
-        let any = "127.0.0.1:0".parse()?;
-        let server = Server::start(any, store.clone().into()).await?;
+        let operators = Operators::new(store.clone());
+        let server = Server::start(any_port(), store.clone().into()).await?;
         let store_address = server.address();
         let mut soak = Soak {
             chance: fastrand::Rng::with_seed(plan.seed),
             random: fastrand::Rng::with_seed(plan.seed),
             store,
+            operators,
             workers: Vec::new(),
             entries: Vec::new(),
             agents: Vec::new(),
@@ -161,8 +160,7 @@
         let name = format!("w{at}");
         let seed = self.plan.seed + 1 + at as u64;
         let worker = Worker::new(&name, seed, promise.clone());
-        let any = "127.0.0.1:0".parse()?;
-        let server = Server::start(any, worker.clone().into()).await?;
+        let server = Server::start(any_port(), worker.clone().into()).await?;
         let agent = free_address()?;
         let settings = format!(
             "[process]\nname = agent-{at}\nhall = hall\n\
@@ -236,6 +234,7 @@
             Fault::Worker(at, mode) => self.workers[at].set(mode),
             Fault::Store(mode) => self.store.set(mode),
             Fault::Forget => self.store.forget(),
+            Fault::Configure(idle) => self.operators.change(idle),
         }
         self.under_way.push((fault, Instant::now() + lasts));
         Ok(next)
@@ -265,7 +264,7 @@
                     self.workers[at].set(worker::Mode::default());
                 }
                 Fault::Store(_) => self.store.set(store::Mode::Good),
-                Fault::Crash(_) | Fault::Forget => {}
+                Fault::Crash(_) | Fault::Forget | Fault::Configure(_) => {}
             }
         }
         // One that was asked to stop is started again once it has ended.
@@ -299,6 +298,14 @@
                 }
             }));
         }
+        let operators = self.operators.clone();
+        let Caller {
+            entries, promise, ..
+        } = self.caller.clone();
+        self.tasks.push(tokio::spawn(async move {
+            let entry = entries[fastrand::usize(..entries.len())];
+            operators.probe(entry, &promise).await;
+        }));
         self.tasks.retain(|task| !task.is_finished());
         tokio::time::sleep(ROUND).await;
         Ok(())
@@ -346,30 +353,3 @@
 fn start_all(programs: &mut [Program]) -> eyre::Result<()> {
     programs.iter_mut().try_for_each(Program::start)
 }
-
-/// Returns the operators' configuration in base64: one queue, one account.
-fn configuration() -> String {
-    let document = json!({
-        "version": 1,
-        "routes": [{"name": "jobs", "host": CALLED, "pathPrefix": PREFIX,
-            "kind": "non_idempotent", "timeoutMs": 3000,
-            "targetLatencyMs": 1000, "priority": 1, "service": "pool",
-            "maxAttempts": 50, "stretch": 3.0, "allowAnonymous": false}],
-        "services": [{"name": "pool", "enforcesCapacity": true}],
-        "limits": {"maxBodyBytes": 262_144},
-        "tenants": [{"name": "soak", "apiKeys": [KEY]}],
-    });
-    let bytes = document.to_string().into_bytes();
-    base64_text(&bytes)
-}
-
-fn base64_text(bytes: &[u8]) -> String {
-    #[derive(Serialize)]
-    struct Text<'a>(
-        #[serde(with = "landingvalve::store::api::base64")] &'a [u8],
-    );
-    match json!(Text(bytes)) {
-        serde_json::Value::String(text) => text,
-        _ => String::new(),
-    }
-}
