--- a/src/cell/configuration.rs
+++ b/src/cell/configuration.rs
@@ -207,7 +207,7 @@
                     None
                 }
                 Err(Error::Forgotten(revision)) => {
-                    slog::debug!(log, "configuration: all is read anew";
+                    slog::info!(log, "configuration: all is read anew";
                         "after" => revision);
                     cursor = None;
                     pause(AGAIN).await;
