Move the watch of one key into a module

Cause: follow had grown to 60 lines that did three things: asking, taking in, telling what became of the store.

Change: cell::watch asks and keeps where to go on; configuration takes in and tells. A store that answers that its history is gone counts as in reach.

--- a/src/cell/configuration.rs
+++ b/src/cell/configuration.rs
@@ -11,26 +11,17 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::cell::cursor::Cursor;
 use crate::cell::pause;
 use crate::cell::reach::Reach;
+use crate::cell::watch::Watch;
 use crate::graph::Advice;
 use crate::graph::Text;
-use crate::store::Change;
-use crate::store::Changes;
 use crate::store::Error;
 use crate::store::Item;
-use crate::store::Listing;
 use crate::store::Revision;
 use crate::store::Store;
 use crate::telemetry::metrics;
 
-/// How long one call waits for a change: how often the configuration is
-/// shown to be current while nothing changes.
-const EVERY: Duration = Duration::from_millis(500);
-/// How much longer than it waits a call takes if it is late: the slowest of
-/// the store's answers seen.
-const LATE: Duration = Duration::from_millis(250);
 /// How long is waited after a call that failed.
 const AGAIN: Duration = Duration::from_millis(60);
 /// How long the store may have said nothing for new callers to be taken: a
@@ -181,40 +172,10 @@
         log: slog::Logger,
     ) {
         let mut reached = true;
-        let mut cursor: Option<Cursor> = None;
-        let mut wait = Duration::ZERO;
+        let mut watch = Watch::new(key);
         loop {
-            let sent = Instant::now();
-            let after = cursor.as_ref().map(Cursor::after);
-            let failed = match news(&store, key, after, wait).await {
-                Ok(news) => {
-                    let quiet = after.is_some() && !news.told;
-                    // What was told, or came late, says little of now: a
-                    // process that stood still knows at once what it may do.
-                    let late = sent.elapsed() > EVERY + LATE;
-                    wait = match quiet && !late {
-                        true => EVERY,
-                        false => Duration::ZERO,
-                    };
-                    match &mut cursor {
-                        Some(cursor) if quiet => cursor.passed(news.revision),
-                        _ => cursor = Some(Cursor::new(news.revision)),
-                    }
-                    for item in news.items {
-                        self.take(item, sent, &decode, &log);
-                    }
-                    self.confirm(sent);
-                    None
-                }
-                Err(Error::Forgotten(revision)) => {
-                    slog::info!(log, "configuration: all is read anew";
-                        "after" => revision);
-                    cursor = None;
-                    pause(AGAIN).await;
-                    continue;
-                }
-                Err(error) => Some(error.to_string()),
-            };
+            let asked = self.ask(&store, &mut watch, &decode, &log).await;
+            let failed = asked.err().map(|error| error.to_string());
             match (&failed, reached) {
                 (Some(error), true) => slog::warn!(log,
                     "configuration: the store is lost"; "error" => error,
@@ -230,12 +191,37 @@
             reached = failed.is_none();
             reach.set(reached);
             if !reached {
-                wait = Duration::ZERO;
                 pause(AGAIN).await;
             }
         }
     }
 
+    /// Makes one call for what is new, and takes it in.
+    async fn ask<E: std::fmt::Display>(
+        &self,
+        store: &impl Store,
+        watch: &mut Watch<'_>,
+        decode: &impl Fn(&[u8]) -> Result<Configuration, E>,
+        log: &slog::Logger,
+    ) -> Result<(), Error> {
+        let sent = Instant::now();
+        let items = match watch.next(store).await {
+            Ok(items) => items,
+            Err(Error::Forgotten(revision)) => {
+                slog::info!(log, "configuration: all is read anew";
+                    "after" => revision);
+                pause(AGAIN).await;
+                return Ok(());
+            }
+            Err(error) => return Err(error),
+        };
+        for item in items {
+            self.take(item, sent, decode, log);
+        }
+        self.confirm(sent);
+        Ok(())
+    }
+
     fn take<E: std::fmt::Display>(
         &self,
         item: Item,
@@ -281,46 +267,6 @@
     }
 }
 
-/// What one call has shown of a key.
-struct News {
-    /// Its values, in the order in which they were written.
-    items: Vec<Item>,
-    /// Whether anything was told, of this key or another.
-    told: bool,
-    /// The store's revision.
-    revision: Revision,
-}
-
-/// Asks for what is new after a revision, or for all there is, so that a
-/// value that stays is not sent again and again.
-async fn news(
-    store: &impl Store,
-    key: &str,
-    after: Option<Revision>,
-    wait: Duration,
-) -> Result<News, Error> {
-    let Some(after) = after else {
-        let Listing { revision, items } = store.list(key).await?;
-        return Ok(News {
-            items: items.into_iter().filter(|i| i.key == key).collect(),
-            told: true,
-            revision,
-        });
-    };
-    let Changes { revision, changes } =
-        store.changes(key, after, wait).await?;
-    let told = !changes.is_empty();
-    let items = changes.into_iter().filter_map(|change| match change {
-        Change::Put(item) if item.key == key => Some(item),
-        Change::Put(_) | Change::Deleted(..) => None,
-    });
-    Ok(News {
-        items: items.collect(),
-        told,
-        revision,
-    })
-}
-
 fn millis(time: Duration) -> u64 {
     time.as_millis() as u64
 }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -22,6 +22,7 @@
 pub mod rpc;
 pub mod session;
 mod teller;
+mod watch;
 pub mod worker;
 mod writer;
 
