Soak: give no port twice

Change: an address is given once in a process, also to the stand-ins.

Conclusion: a fault of the tool, not of the product.

--- a/crates/landingvalve-soak/src/fleet.rs
+++ b/crates/landingvalve-soak/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The programs under test, as processes of their own.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::Path;
@@ -7,12 +8,15 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Mutex;
 
 use eyre::Context;
 use nix::sys::signal::kill;
 use nix::sys::signal::Signal;
 use nix::unistd::Pid;
 
+use crate::lock;
+
 /// A program with its settings, and its process while it runs.
 #[derive(Debug)]
 pub struct Program {
@@ -126,19 +130,24 @@
     }
 }
 
-/// Returns the loopback address of this process's fleet, any port: ports are
-/// found free and taken later, so that two fleets on one address would meet.
-pub fn any_port() -> SocketAddr {
-    let [_, high, middle, low] = std::process::id().to_be_bytes();
-    SocketAddr::from(([127, high, middle, low], 0))
-}
-
-/// Returns an address of this process's fleet that nobody listens on.
+/// Returns an address that nobody listens on, and that no other call has
+/// returned.
+///
+/// It is taken later, and again after each restart. Fleets of two processes
+/// would meet on one host, and two programs of a fleet on one port.
 ///
 /// # Errors
 ///
 /// If there is none.
 pub fn free_address() -> eyre::Result<SocketAddr> {
-    let listener = TcpListener::bind(any_port()).wrap_err("a port")?;
-    Ok(listener.local_addr()?)
+    static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let any = SocketAddr::from(([127, high, middle, low], 0));
+    loop {
+        let listener = TcpListener::bind(any).wrap_err("a port")?;
+        let address = listener.local_addr()?;
+        if lock(&GIVEN).insert(address) {
+            return Ok(address);
+        }
+    }
 }
--- a/crates/landingvalve-soak/src/soak.rs
+++ b/crates/landingvalve-soak/src/soak.rs
@@ -15,7 +15,6 @@
 use crate::faults;
 use crate::faults::Fault;
 use crate::faults::Strike;
-use crate::fleet::any_port;
 use crate::fleet::free_address;
 use crate::fleet::Program;
 use crate::operators::Operators;
@@ -119,7 +118,8 @@
         let promise = Promise::default();
         let store = Store::new(plan.seed);
         let operators = Operators::new(store.clone());
-        let server = Server::start(any_port(), store.clone().into()).await?;
+        let server =
+            Server::start(free_address()?, store.clone().into()).await?;
         let store_address = server.address();
         let mut soak = Soak {
             chance: fastrand::Rng::with_seed(plan.seed),
@@ -160,7 +160,8 @@
         let name = format!("w{at}");
         let seed = self.plan.seed + 1 + at as u64;
         let worker = Worker::new(&name, seed, promise.clone());
-        let server = Server::start(any_port(), worker.clone().into()).await?;
+        let server =
+            Server::start(free_address()?, worker.clone().into()).await?;
         let agent = free_address()?;
         let settings = format!(
             "[process]\nname = agent-{at}\nhall = hall\n\
