Soak: judge an answer by what was told when its question was sent

Both questions were under way at once, at two entries, while the store took 50 to 400 ms: the one that was sent first (58.227 s) read 'running' and came back last (58.741 s), the other was sent at 58.347 and answered at 58.640. Nothing orders two questions that overlap: the check was wrong.

Change: an end is taken back if it had been told before the question was sent, which is what callers rely on; two different ends are a fault in any order, which was seen before only if the second came right after.

Conclusion: as strict where callers can tell, and stricter for ends.

--- a/crates/landingvalve-soak/src/callers.rs
+++ b/crates/landingvalve-soak/src/callers.rs
@@ -96,6 +96,7 @@
 
     /// Asks how a job stands.
     pub async fn ask(&self, job: &str) {
+        let before = self.promise.state(job);
         let reply = self.call(Method::GET, job, String::new()).await;
         let Some(reply) = reply else {
             return;
@@ -104,9 +105,9 @@
             200 => {
                 let state = serde_json::from_slice::<State>(&reply.body);
                 let state = state.map_or(String::new(), |s| s.state);
-                self.promise.told(job, Some(&state));
+                self.promise.told(job, Some(&state), &before);
             }
-            410 => self.promise.told(job, None),
+            410 => self.promise.told(job, None, &before),
             _ => {}
         }
     }
--- a/crates/landingvalve-soak/src/promise.rs
+++ b/crates/landingvalve-soak/src/promise.rs
@@ -74,6 +74,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct Promise(Arc<Mutex<Seen>>);
 
+/// Returns whether a state is the last that a job has.
+fn is_end(state: &str) -> bool {
+    matches!(state, "succeeded" | "failed" | "cancelled")
+}
+
 impl Seen {
     fn broken(&mut self, rule: &str, what: String) {
         self.broken.push(format!("{rule}: {what}"));
@@ -135,26 +140,35 @@
         }
     }
 
+    /// Returns the last state that a caller was told, empty if none was.
+    pub fn state(&self, id: &str) -> String {
+        let seen = lock(&self.0);
+        let job = seen.jobs.get(id);
+        job.map(|job| job.state.clone()).unwrap_or_default()
+    }
+
     /// Takes note of a state that a caller was told; `None` is that there
-    /// is no such job.
-    pub fn told(&self, id: &str, state: Option<&str>) {
+    /// is no such job. `before` is what had been told when it asked: of two
+    /// questions under way at once, either may be answered first.
+    pub fn told(&self, id: &str, state: Option<&str>, before: &str) {
         let mut seen = lock(&self.0);
         let Some(job) = seen.jobs.get(id) else {
             return;
         };
         let steps = job.steps.clone();
         let (accepted, cancelled) = (job.accepted, job.cancels);
-        let before = job.state.clone();
-        let ended = ["succeeded", "failed", "cancelled"];
-        let changed = ended.contains(&&*before) && state != Some(&before);
+        let last = job.state.clone();
+        let taken_back = is_end(before) && state != Some(before);
+        let other_end = is_end(&last)
+            && state.is_some_and(|state| is_end(state) && state != last);
         let early = steps
             .iter()
             .enumerate()
             .any(|(step, tasks)| !seen.step_done(id, step, *tasks));
         match state {
             None if accepted => seen.broken("LOST", format!("{id} unknown")),
-            _ if changed => {
-                let what = format!("{id} was {before}, is {state:?}");
+            _ if taken_back || other_end => {
+                let what = format!("{id} was {last}, is {state:?}");
                 seen.broken("MIXED", what);
             }
             Some("succeeded") if early => {
@@ -165,8 +179,11 @@
             }
             _ => {}
         }
-        if let (Some(job), Some(state)) = (seen.jobs.get_mut(id), state) {
-            state.clone_into(&mut job.state);
+        match (seen.jobs.get_mut(id), state) {
+            (Some(job), Some(state)) if !is_end(&last) => {
+                state.clone_into(&mut job.state);
+            }
+            _ => {}
         }
     }
 
