What is done where agents are turned away is not done again

Cause: a planner's server takes 100 connections, its library's default, which nobody chose and nobody saw. The limit is one cause; that a planner decides what it cannot know is the second one, and holds for every way in which an agent is there and does not reach the planner.

Change: an agent that no planner has answered for a third of its survival (4 s) keeps what its worker lists in the store, under lv/report/AGENT, and removes it once a planner has answered. Before a planner takes a silent agent's runs for gone it reads that.

Ruled out: leases that outlive their grant (the worker lapsed in time), two planners at once.

The new test with the limit at 1 fails without the reading (the tasks begin again). After: it passes; 6,000 random schedules, which now let cut agents keep what is listed and check that it is not run again, break no rule.

--- /dev/null
+++ b/src/cell/inquiry.rs
@@ -0,0 +1,49 @@
+//! Reading what agents have kept that reach no planner.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::cell::claim::Claim;
+use crate::cell::keys;
+use crate::cell::pause;
+use crate::graph::Report;
+use crate::store::Item;
+use crate::store::Store;
+
+/// How long is waited before the store is asked again.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// Returns what agents have kept, and when the call was sent that read it;
+/// nothing once the claim is over.
+pub(super) async fn read(
+    store: &impl Store,
+    claim: &Claim,
+    log: &slog::Logger,
+) -> Option<(Vec<Report>, Instant)> {
+    while claim.holds() {
+        let sent = Instant::now();
+        match store.list(keys::REPORTS).await {
+            Ok(listing) => {
+                let items = listing.items.iter();
+                let reports = items.filter_map(|item| decode(item, log));
+                return Some((reports.collect(), sent));
+            }
+            Err(error) => slog::debug!(log,
+                "planner: kept reports cannot be read"; "error" => %error),
+        }
+        pause(AGAIN).await;
+    }
+    None
+}
+
+fn decode(item: &Item, log: &slog::Logger) -> Option<Report> {
+    match serde_json::from_slice(&item.value) {
+        Ok(report) => Some(report),
+        Err(error) => {
+            slog::error!(log, "planner: a kept report cannot be read";
+                "key" => &item.key, "error" => %error);
+            None
+        }
+    }
+}
--- a/src/cell/keys.rs
+++ b/src/cell/keys.rs
@@ -7,6 +7,7 @@
 //! | `lv/in/ID/cancel` | entries | a job is cancelled |
 //! | `lv/queue/QUEUE/ID` | entries, planner | accepted, until it begins |
 //! | `lv/progress/ID` | planner | a run is given out, or has ended |
+//! | `lv/report/AGENT` | agents | ends are listed and no planner is reached |
 
 /// The claim of the planner.
 pub const PLANNER: &str = "lv/planner";
@@ -15,6 +16,14 @@
 /// Everything that planners keep of jobs.
 pub const PROGRESS: &str = "lv/progress/";
 
+/// Everything that agents keep which reach no planner.
+pub const REPORTS: &str = "lv/report/";
+
+/// Returns the key of what an agent keeps while it reaches no planner.
+pub fn report(agent: &str) -> String {
+    format!("{REPORTS}{agent}")
+}
+
 /// Returns the key of an accepted job.
 pub fn job(id: &str) -> String {
     format!("{INTAKE}{id}/job")
--- /dev/null
+++ b/src/cell/member/keep.rs
@@ -0,0 +1,130 @@
+//! Keeping what the worker lists where no planner is reached.
+//!
+//! A planner that hears nothing of an agent for long begins its tasks
+//! elsewhere. What is done here meanwhile must not be done again, so it is
+//! kept in the store, where that planner looks first.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::cell::keys;
+use crate::cell::member::Member;
+use crate::cell::worker::Worker;
+use crate::graph::Life;
+use crate::graph::Report;
+use crate::store::Compare;
+use crate::store::Put;
+use crate::store::Revision;
+use crate::store::Store;
+use crate::store::Swap;
+
+/// How often is looked whether something must be kept. Well below the time
+/// between the end of the last lease and the planner's look: 0.8 s.
+const LOOK: Duration = Duration::from_millis(250);
+/// The share of the survival without a planner after which ends are kept:
+/// longer than it takes another to claim.
+const ALONE: f64 = 1.0 / 3.0;
+
+/// What was kept last.
+#[derive(Debug, Default)]
+struct Kept {
+    /// The life that it is of, and its highest end; nothing if nothing is
+    /// kept.
+    ends: Option<(Life, u64)>,
+    /// The revision of the key, as far as it is known.
+    revision: Revision,
+}
+
+impl<W: Worker, S: Store> Member<W, S> {
+    /// Keeps ends in the store while no planner is reached, for ever.
+    pub(super) async fn keep_ends(&self) {
+        let alone = self.0.config.survival.mul_f64(ALONE);
+        let mut kept = Kept::default();
+        let mut look = tokio::time::interval(LOOK);
+        let skip = tokio::time::MissedTickBehavior::Delay;
+        look.set_missed_tick_behavior(skip);
+        loop {
+            look.tick().await;
+            let now = Instant::now();
+            let report = {
+                let mut state = self.lock();
+                match now >= state.answered + alone {
+                    true => Some(state.report(&self.0.config, now)),
+                    false => None,
+                }
+            };
+            match report {
+                Some(report) => self.keep(report, &mut kept).await,
+                None if kept.ends.is_some() => self.clear(&mut kept).await,
+                None => {}
+            }
+        }
+    }
+
+    /// Keeps a report, if it lists an end that is not kept yet.
+    async fn keep(&self, report: Report, kept: &mut Kept) {
+        let Some(worker) = &report.worker else {
+            return;
+        };
+        let ended = worker.lists.ended.iter().map(|ended| ended.number);
+        let Some(highest) = ended.max() else {
+            return;
+        };
+        let ends = Some((worker.life.clone(), highest));
+        if kept.ends == ends {
+            return;
+        }
+        let value = match serde_json::to_vec(&report) {
+            Ok(value) => value,
+            Err(error) => {
+                slog::error!(self.0.config.log,
+                    "agent: a report cannot be encoded"; "error" => %error);
+                return;
+            }
+        };
+        let put = |key| Put::Value(key, value, 0);
+        if self.swap(put, kept).await {
+            slog::info!(self.0.config.log,
+                "agent: ends are kept, no planner is reached";
+                "ends" => worker.lists.ended.len(), "to" => highest,
+                "life" => &*worker.life);
+            kept.ends = ends;
+        }
+    }
+
+    /// Removes what is kept, once a planner has heard it.
+    async fn clear(&self, kept: &mut Kept) {
+        if self.swap(Put::Delete, kept).await {
+            kept.ends = None;
+        }
+    }
+
+    /// Changes the key; returns whether that was done. Each change names the
+    /// one before, so that a late one of an earlier call undoes nothing.
+    async fn swap(
+        &self,
+        put: impl FnOnce(String) -> Put,
+        kept: &mut Kept,
+    ) -> bool {
+        let key = keys::report(&self.0.config.agent);
+        let condition = Compare::Modified(key.clone(), kept.revision);
+        let put = put(key);
+        let removes = matches!(put, Put::Delete(_));
+        match self.0.store.swap(&[condition], vec![put]).await {
+            Ok(Swap::Written(revision)) => {
+                kept.revision = if removes { 0 } else { revision };
+                true
+            }
+            Ok(Swap::Refused(items)) => {
+                kept.revision = items.first().map_or(0, |i| i.modified);
+                false
+            }
+            Err(error) => {
+                slog::debug!(self.0.config.log,
+                    "agent: ends are not kept"; "error" => %error);
+                false
+            }
+        }
+    }
+}
--- a/src/cell/member/link.rs
+++ b/src/cell/member/link.rs
@@ -28,6 +28,9 @@
 const CALL: Duration = Duration::from_millis(1200);
 /// How long one call for a change of the claim waits.
 const WATCH: Duration = Duration::from_millis(600);
+/// The longest that an agent waits that is turned away: several tries fall
+/// within the survival without a planner.
+const LONGEST: Duration = Duration::from_secs(3);
 /// News that come this close together go in one report.
 const GATHER: Duration = Duration::from_millis(5);
 
@@ -35,15 +38,18 @@
     /// Reports to whoever holds the claim, for ever.
     pub(super) async fn follow_planner(&self) {
         let mut failed = 0;
+        let mut turned_away = 0;
         loop {
             let (holder, revision) = self.holder().await;
             let Some(holder) = holder.filter(|_| revision != failed) else {
-                self.wait_for_claim(revision).await;
+                let until = Instant::now() + back_off(turned_away);
+                self.wait_for_claim(revision, until).await;
                 failed = 0;
                 continue;
             };
             match link::connect(&holder.address).await {
                 Ok(client) => {
+                    turned_away = 0;
                     slog::info!(self.0.config.log,
                         "agent: reports to a planner";
                         "planner" => &holder.process, "claim" => revision);
@@ -53,9 +59,15 @@
                         "agent: has left a planner";
                         "planner" => &holder.process, "claim" => revision);
                 }
-                Err(error) => slog::warn!(self.0.config.log,
-                    "agent: a planner is not reached";
-                    "error" => %error),
+                Err(error) => {
+                    turned_away = match error.is_turned_away() {
+                        true => turned_away + 1,
+                        false => 0,
+                    };
+                    slog::warn!(self.0.config.log,
+                        "agent: a planner is not reached";
+                        "error" => %error, "turned_away" => turned_away);
+                }
             }
             // Whoever claims next is waited for, for a while.
             failed = revision;
@@ -75,23 +87,33 @@
         }
     }
 
-    async fn wait_for_claim(&self, revision: Revision) {
+    /// Waits for another claim than that of `revision`, for a while, and at
+    /// least until `until`.
+    async fn wait_for_claim(&self, revision: Revision, until: Instant) {
         if revision == 0 {
             pause(AGAIN).await;
             return;
         }
-        let changes = self.0.store.changes(keys::PLANNER, revision, WATCH);
-        match tokio::time::timeout(WATCH + CALL, changes).await {
-            Ok(Ok(changes)) => {
-                let gone = changes
-                    .changes
-                    .iter()
-                    .all(|change| matches!(change, Change::Deleted(..)));
-                if gone {
-                    pause(AGAIN / 3).await;
+        loop {
+            let changes = self.0.store.changes(keys::PLANNER, revision, WATCH);
+            match tokio::time::timeout(WATCH + CALL, changes).await {
+                Ok(Ok(changes)) => {
+                    let gone = changes
+                        .changes
+                        .iter()
+                        .all(|change| matches!(change, Change::Deleted(..)));
+                    if gone {
+                        pause(AGAIN / 3).await;
+                    }
+                    if !changes.changes.is_empty() {
+                        return;
+                    }
                 }
+                Ok(Err(_)) | Err(_) => pause(AGAIN).await,
+            }
+            if Instant::now() >= until {
+                return;
             }
-            Ok(Err(_)) | Err(_) => pause(AGAIN).await,
         }
     }
 
@@ -167,6 +189,16 @@
     }
 }
 
+/// Returns how long a planner is left alone that has turned this agent away
+/// so many times in a row: longer each time, and not the same for all.
+fn back_off(turned_away: u32) -> Duration {
+    let Some(doublings) = turned_away.checked_sub(1) else {
+        return Duration::ZERO;
+    };
+    let most = (AGAIN * 2).saturating_mul(2u32.saturating_pow(doublings));
+    most.min(LONGEST).mul_f64(0.5 + fastrand::f64() / 2.0)
+}
+
 fn decode(item: &Item) -> Option<Holder> {
     serde_json::from_slice(&item.value).ok()
 }
--- a/src/cell/member/mod.rs
+++ b/src/cell/member/mod.rs
@@ -6,6 +6,7 @@
 //! that neither side depends on a message that was lost.
 
 mod act;
+mod keep;
 mod link;
 mod look;
 mod state;
@@ -107,7 +108,11 @@
 
     /// Looks after the worker and speaks with the planner, for ever.
     pub async fn run(&self) {
-        tokio::join!(self.watch_worker(), self.follow_planner());
+        tokio::join!(
+            self.watch_worker(),
+            self.follow_planner(),
+            self.keep_ends()
+        );
     }
 
     /// Takes in what the worker says of itself.
--- a/src/cell/member/state.rs
+++ b/src/cell/member/state.rs
@@ -113,6 +113,8 @@
     pub token: Revision,
     /// Until when the worker's tasks may go on.
     pub granted: Option<Instant>,
+    /// When a planner has answered last.
+    pub answered: Instant,
     /// The highest token that the worker has called too low.
     pub fenced: Revision,
     pub worker: Option<Known>,
@@ -125,6 +127,7 @@
             sequence: 0,
             token: 0,
             granted: None,
+            answered: Instant::now(),
             fenced: 0,
             worker: None,
         }
@@ -197,6 +200,7 @@
             return Vec::new();
         }
         self.token = token;
+        self.answered = Instant::now();
         self.granted = self.granted.max(granted);
         let Some(known) = &mut self.worker else {
             return Vec::new();
--- a/src/cell/planner.rs
+++ b/src/cell/planner.rs
@@ -17,6 +17,7 @@
 use crate::cell::advice::Desk;
 use crate::cell::claim::Claim;
 use crate::cell::configuration::Source;
+use crate::cell::inquiry;
 use crate::cell::keys;
 use crate::cell::keys::Intake;
 use crate::cell::rpc::Answer;
@@ -63,6 +64,8 @@
     Written(Result<Written, writer::Lost>),
     /// Records were removed, or not.
     Removed(Vec<Id>),
+    /// What silent agents have kept was read, by a call sent at that time.
+    Inquired(Vec<AgentId>, Vec<Report>, Instant),
     /// A question was answered, or not, that was put at that time.
     Advised(Question, Option<Vec<Ticket>>, Instant),
     /// Something was taken in: decide.
@@ -159,6 +162,9 @@
             Message::Listing(listing) => state.listing(listing),
             Message::Written(written) => state.written(written),
             Message::Removed(ids) => state.removed(&ids),
+            Message::Inquired(agents, kept, sent) => {
+                state.inquired(&agents, kept, sent);
+            }
             Message::Advised(question, good, sent) => {
                 state.asking = false;
                 state.book.advised(&question, good, sent.into_std());
@@ -339,6 +345,7 @@
             self.teller.tell(&decision, token);
         }
         self.ask(myself);
+        self.inquire(myself);
         self.write(myself);
         self.due.extend(self.book.take_stirred());
         let due: Vec<AgentId> = self
@@ -386,6 +393,45 @@
         });
     }
 
+    /// Reads what silent agents have kept, before what runs there is taken
+    /// for gone.
+    fn inquire(&mut self, myself: &ActorRef<Message>) {
+        let agents = self.book.take_inquiries();
+        if agents.is_empty() {
+            return;
+        }
+        let store = self.store.clone();
+        let claim = self.claim.clone();
+        let log = self.log.clone();
+        let myself = myself.clone();
+        tokio::spawn(async move {
+            let Some((kept, sent)) = inquiry::read(&store, &claim, &log).await
+            else {
+                return;
+            };
+            // A planner that has stopped needs no answer.
+            let _ = myself.cast(Message::Inquired(agents, kept, sent));
+        });
+    }
+
+    fn inquired(
+        &mut self,
+        agents: &[AgentId],
+        kept: Vec<Report>,
+        sent: Instant,
+    ) {
+        let now = Moment::present();
+        let mut kept: HashMap<AgentId, Report> =
+            kept.into_iter().map(|r| (r.agent.clone(), r)).collect();
+        for agent in agents {
+            let report = kept.remove(agent);
+            slog::info!(self.log, "planner: an agent is silent";
+                "agent" => &**agent, "kept" => report.is_some(),
+                "token" => self.claim.token);
+            self.book.inquired(agent, report, sent.into_std(), now);
+        }
+    }
+
     fn write(&mut self, myself: &ActorRef<Message>) {
         if self.writing {
             return;
--- a/src/graph/book.rs
+++ b/src/graph/book.rs
@@ -10,6 +10,7 @@
 use crate::graph::entry::Entry;
 use crate::graph::health::Health;
 use crate::graph::history::History;
+use crate::graph::inquiry::Inquiry;
 use crate::graph::pace::Filling;
 use crate::graph::unit::Why;
 use crate::graph::AgentId;
@@ -137,6 +138,8 @@
     pub(super) urgent: BTreeMap<Text, Instant>,
     /// Who may run the steps whose starts need leave.
     pub(super) leave: BTreeMap<StepKey, Leave>,
+    /// What is asked about agents that are silent.
+    pub(super) inquiries: BTreeMap<AgentId, Inquiry>,
     pub(super) dirty: BTreeSet<Id>,
     pub(super) stirred: BTreeSet<AgentId>,
     /// What the last steps decided, for the log.
@@ -159,6 +162,7 @@
             history: History::default(),
             urgent: BTreeMap::new(),
             leave: BTreeMap::new(),
+            inquiries: BTreeMap::new(),
             dirty: BTreeSet::new(),
             stirred: BTreeSet::new(),
             decisions: Vec::new(),
--- /dev/null
+++ b/src/graph/inquiry.rs
@@ -0,0 +1,90 @@
+//! Agents that are not heard of, and what they have left in the store.
+//!
+//! An agent that does not reach the planner keeps the ends that its worker
+//! lists in the store. Before what runs there is taken for gone, that is
+//! read: a task that is done must not begin again, whatever kept its agent
+//! from saying so.
+
+use std::time::Instant;
+
+use crate::graph::settle::End;
+use crate::graph::AgentId;
+use crate::graph::Book;
+use crate::graph::Moment;
+use crate::graph::Place;
+use crate::graph::Report;
+
+/// How far the question about an agent has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Inquiry {
+    /// It is to be asked.
+    Open,
+    /// It is being asked.
+    Asked,
+    /// All that the agent kept before then is known.
+    Answered(Instant),
+}
+
+impl Book {
+    /// Returns the agents that are silent for so long that their members are
+    /// about to be taken for gone, each once: what they have kept in the
+    /// store must be told to [`Book::inquired`].
+    pub fn take_inquiries(&mut self) -> Vec<AgentId> {
+        let open = self
+            .inquiries
+            .iter_mut()
+            .filter(|(_, inquiry)| **inquiry == Inquiry::Open);
+        open.map(|(agent, inquiry)| {
+            *inquiry = Inquiry::Asked;
+            agent.clone()
+        })
+        .collect()
+    }
+
+    /// Takes in what an agent has kept, as read by a call that was sent at
+    /// `sent`; nothing where it has kept nothing.
+    pub fn inquired(
+        &mut self,
+        agent: &AgentId,
+        kept: Option<Report>,
+        sent: Instant,
+        now: Moment,
+    ) {
+        self.inquiries
+            .insert(agent.clone(), Inquiry::Answered(sent));
+        let Some(worker) = kept.and_then(|report| report.worker) else {
+            return;
+        };
+        let place = Place {
+            agent: agent.clone(),
+            life: worker.life,
+        };
+        for ended in &worker.lists.ended {
+            let found = self.find(&ended.task, ended.run, &place);
+            if let Some((key, at)) = found {
+                self.save(&ended.task.job, &key, &ended.saved);
+                let end = End::Listed(ended.how);
+                self.end_member(&ended.task.job, &key, at, end, now);
+            }
+        }
+    }
+
+    /// Returns whether it is known what an agent has kept until `since`;
+    /// else it will be asked.
+    pub(super) fn is_inquired(
+        &mut self,
+        agent: &AgentId,
+        since: Instant,
+    ) -> bool {
+        let inquiry =
+            self.inquiries.entry(agent.clone()).or_insert(Inquiry::Open);
+        match *inquiry {
+            Inquiry::Answered(sent) if sent >= since => true,
+            Inquiry::Answered(_) => {
+                *inquiry = Inquiry::Open;
+                false
+            }
+            Inquiry::Open | Inquiry::Asked => false,
+        }
+    }
+}
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -278,7 +278,7 @@
 
     /// Keeps a checkpoint that comes with an end: once the end is
     /// acknowledged, the worker no longer has it.
-    fn save(&mut self, id: &str, key: &UnitKey, saved: &str) {
+    pub(super) fn save(&mut self, id: &str, key: &UnitKey, saved: &str) {
         let Some(entry) = self.jobs.get_mut(id) else {
             return;
         };
@@ -312,7 +312,7 @@
     }
 
     /// Returns the unit and the position of a member that is running.
-    fn find(
+    pub(super) fn find(
         &self,
         task: &Task,
         run: Run,
--- a/src/graph/loss.rs
+++ b/src/graph/loss.rs
@@ -83,6 +83,9 @@
             }
         }
         for (place, heard) in silent {
+            if !self.is_inquired(&place.agent, heard + wait) {
+                continue;
+            }
             self.note(Decision::Gone {
                 life: place.life.clone(),
                 silent: now.now.saturating_duration_since(heard),
--- a/src/graph/mod.rs
+++ b/src/graph/mod.rs
@@ -19,6 +19,7 @@
 mod entry;
 mod health;
 mod history;
+mod inquiry;
 mod intake;
 mod job;
 mod loss;
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -76,6 +76,10 @@
         "Time of an order to a worker, by kind and outcome.",
     ),
     about("landingvalve_looks", "Looks at the worker, by outcome."),
+    about(
+        "landingvalve_limited",
+        "What was turned away at a limit of this process, by limit.",
+    ),
     about("landingvalve_claims", "Claims, by what became of them."),
     about(
         "landingvalve_ready",
@@ -157,6 +161,8 @@
     pub order: Histogram<f64>,
     /// Looks at the worker.
     pub looks: Counter<u64>,
+    /// What was turned away at a limit of this process.
+    pub limited: Counter<u64>,
     /// Claims.
     pub claims: Counter<u64>,
     /// Whether new callers are taken.
@@ -212,6 +218,7 @@
             job: histogram("landingvalve_job_seconds"),
             order: histogram("landingvalve_order_seconds"),
             looks: counter("landingvalve_looks"),
+            limited: counter("landingvalve_limited"),
             claims: counter("landingvalve_claims"),
             ready: gauge("landingvalve_ready"),
             age: histogram("landingvalve_configuration_age_seconds"),
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -6,8 +6,10 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use jsonrpsee::core::ClientError;
 use jsonrpsee::ws_client::WsClient;
 use jsonrpsee::ws_client::WsClientBuilder;
+use jsonrpsee_client_transport::ws::WsHandshakeError;
 
 /// How long a connection may take to be made.
 const CONNECT: Duration = Duration::from_secs(1);
@@ -24,6 +26,7 @@
 pub struct Error {
     address: String,
     reason: String,
+    turned_away: bool,
 }
 
 impl Error {
@@ -32,8 +35,14 @@
         Error {
             address: address.to_owned(),
             reason: reason.to_string(),
+            turned_away: false,
         }
     }
+
+    /// Returns whether the other process is there and takes no connection.
+    pub fn is_turned_away(&self) -> bool {
+        self.turned_away
+    }
 }
 
 /// Connections by address.
@@ -103,11 +112,22 @@
         .build(format!("ws://{address}"));
     match tokio::time::timeout(CONNECT, connecting).await {
         Ok(Ok(client)) => Ok(Arc::new(client)),
-        Ok(Err(error)) => Err(Error::new(address, error)),
+        Ok(Err(error)) => Err(Error {
+            turned_away: is_rejected(&error),
+            ..Error::new(address, error)
+        }),
         Err(_) => Err(Error::new(address, "not connected in time")),
     }
 }
 
+fn is_rejected(error: &ClientError) -> bool {
+    let ClientError::Transport(error) = error else {
+        return false;
+    };
+    let rejected = error.downcast_ref::<WsHandshakeError>();
+    matches!(rejected, Some(WsHandshakeError::Rejected { .. }))
+}
+
 /// Waits for a call's answer until its deadline.
 ///
 /// # Errors
@@ -116,9 +136,7 @@
 pub async fn within<T>(
     address: &str,
     limit: Duration,
-    call: impl std::future::Future<
-        Output = Result<T, jsonrpsee::core::ClientError>,
-    >,
+    call: impl std::future::Future<Output = Result<T, ClientError>>,
 ) -> Result<T, Error> {
     match tokio::time::timeout(limit, call).await {
         Ok(Ok(answer)) => Ok(answer),
--- a/tests/it/advice.rs
+++ b/tests/it/advice.rs
@@ -70,7 +70,7 @@
         text: "leave".to_owned(),
     }];
     site.book.advised(&question, Some(good), site.now.now);
-    site.book.step(site.now);
+    site.step();
     site.write();
     let agent = site.workers[2].agent.clone();
     let starts = site.book.orders(&agent).starts;
@@ -104,7 +104,7 @@
         text: "stale".to_owned(),
     }];
     site.book.advised(&question, Some(good), site.now.now);
-    site.book.step(site.now);
+    site.step();
     site.write();
     let agent = site.workers[0].agent.clone();
     let start = site.book.orders(&agent).starts.remove(0);
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -2,6 +2,7 @@
 //! in memory and fail on demand.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -9,14 +10,13 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
-use jsonrpsee::server::Server;
-use jsonrpsee::server::ServerHandle;
 use landingvalve::cell::claim::Holder;
 use landingvalve::cell::configuration::Source;
 use landingvalve::cell::member::Config;
 use landingvalve::cell::member::Heartbeat;
 use landingvalve::cell::member::Member;
-use landingvalve::cell::rpc::CellServer;
+use landingvalve::cell::server::Limits;
+use landingvalve::cell::server::Server;
 use landingvalve::cell::session::Host;
 use landingvalve::cell::session::Session;
 use landingvalve::cell::worker;
@@ -311,6 +311,10 @@
         }
     }
 
+    pub fn began(&self) -> Vec<String> {
+        self.lock().began.clone()
+    }
+
     fn lock(&self) -> MutexGuard<'_, Tasks> {
         self.tasks.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -477,7 +481,7 @@
 pub struct Entry {
     stop: watch::Sender<bool>,
     planning: JoinHandle<()>,
-    _server: ServerHandle,
+    server: Server,
 }
 
 impl Entry {
@@ -485,18 +489,42 @@
         Entry::logged(name, store, log::none()).await
     }
 
+    /// Starts an entry whose planner survives and takes what it is told.
+    pub async fn limited(
+        name: &str,
+        store: &Memory,
+        limits: Limits,
+        terms: Terms,
+    ) -> Entry {
+        Entry::on(name, store, limits, terms, log::none()).await
+    }
+
+    /// Returns where agents reach it.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
     pub async fn logged(
         name: &str,
         store: &Memory,
         log: slog::Logger,
+    ) -> Entry {
+        let limits = Limits::default();
+        Entry::on(name, store, limits, Terms::default(), log).await
+    }
+
+    async fn on(
+        name: &str,
+        store: &Memory,
+        limits: Limits,
+        terms: Terms,
+        log: slog::Logger,
     ) -> Entry {
         let host = Host::new();
-        let server = Server::builder()
-            .build("127.0.0.1:0")
-            .await
-            .expect("a free port");
-        let address = server.local_addr().expect("bound").to_string();
-        let _server = server.start(host.clone().into_rpc());
+        let any = ([127, 0, 0, 1], 0).into();
+        let server = Server::start(any, host.clone(), limits, log.clone());
+        let server = server.await.expect("a free port");
+        let address = server.address().to_string();
         let session = Session {
             store: store.clone(),
             holder: Holder {
@@ -507,14 +535,14 @@
             host,
             source: Source::new(),
             advice: None,
-            terms: Terms::default(),
+            terms,
             log,
         };
         let (stop, stopped) = watch::channel(false);
         Entry {
             stop,
             planning: tokio::spawn(session.run(stopped)),
-            _server,
+            server,
         }
     }
 
@@ -542,10 +570,23 @@
     lease: Duration,
     store: &Memory,
     worker: &Fake,
+) -> JoinHandle<()> {
+    let survival = Terms::default().survival;
+    surviving(name, survival, lease, store, worker)
+}
+
+/// Starts an agent whose worker's tasks go on for `survival` without a
+/// planner.
+pub fn surviving(
+    name: &str,
+    survival: Duration,
+    lease: Duration,
+    store: &Memory,
+    worker: &Fake,
 ) -> JoinHandle<()> {
     let config = Config {
         agent: name.into(),
-        survival: Duration::from_secs(12),
+        survival,
         lease,
         log: log::none(),
     };
--- a/tests/it/graph.rs
+++ b/tests/it/graph.rs
@@ -182,6 +182,20 @@
         }
     }
 
+    /// Decides; no silent agent has kept anything.
+    pub fn step(&mut self) {
+        self.book.step(self.now);
+        let silent = self.book.take_inquiries();
+        if silent.is_empty() {
+            return;
+        }
+        for agent in silent {
+            let sent = self.now.now;
+            self.book.inquired(&agent, None, sent, self.now);
+        }
+        self.book.step(self.now);
+    }
+
     /// Lets everybody report and obey, until nothing changes.
     pub fn settle(&mut self) {
         for _ in 0..6 {
@@ -189,7 +203,7 @@
                 let report = self.workers[at].report();
                 self.book.report(report, self.now);
             }
-            self.book.step(self.now);
+            self.step();
             self.write();
             for worker in &mut self.workers {
                 let orders = self.book.orders(&worker.agent);
@@ -328,7 +342,7 @@
     site.settle();
     let urgent = job("urgent", 0, vec![step(1, 4, false)], &site);
     site.submit(urgent);
-    site.book.step(site.now);
+    site.step();
     site.pass(Duration::from_secs(2));
     site.settle();
     assert_eq!(site.running("urgent"), 1);
@@ -377,7 +391,7 @@
     site.submit(job("j", 1, vec![step(1, 1, false)], &site));
     let report = site.workers[0].report();
     site.book.report(report, site.now);
-    site.book.step(site.now);
+    site.step();
     let agent = site.workers[0].agent.clone();
     assert_eq!(site.book.orders(&agent).starts, [], "not written yet");
     site.write();
--- a/tests/it/graph_faults.rs
+++ b/tests/it/graph_faults.rs
@@ -80,6 +80,12 @@
     leaving: bool,
     /// For how many rounds its agent and the planner do not hear each other.
     cut: u32,
+    /// Whether its agent does not reach the store either, while it is cut.
+    alone: bool,
+    /// When it was answered last.
+    answered: Instant,
+    /// What its agent has kept in the store.
+    kept: Option<Report>,
 }
 
 /// An order that is on its way, and for how many rounds it still is.
@@ -101,6 +107,8 @@
 
 struct World {
     random: fastrand::Rng,
+    /// Draws who reaches the store: apart, so that older schedules stay.
+    stores: fastrand::Rng,
     now: Moment,
     workers: Vec<Worker>,
     planner: Planner,
@@ -159,9 +167,13 @@
             gone: None,
             leaving: false,
             cut: 0,
+            alone: false,
+            answered: now.now,
+            kept: None,
         });
         World {
             random: fastrand::Rng::with_seed(seed),
+            stores: fastrand::Rng::with_seed(!seed),
             now,
             workers: workers.into(),
             planner: Planner {
@@ -282,6 +294,32 @@
         worker.number = 0;
         worker.noted = 0;
         worker.lapsed = 0;
+        worker.kept = None;
+    }
+
+    /// Lets agents that reach no planner keep what their workers list.
+    fn keep(&mut self) {
+        let alone = Terms::default().survival / 3;
+        for at in 0..self.workers.len() {
+            let worker = &self.workers[at];
+            let reaches = worker.cut == 0 || !worker.alone;
+            let late = self.now.now >= worker.answered + alone;
+            if reaches && late && !worker.ended.is_empty() {
+                self.workers[at].kept = Some(self.report(at));
+            }
+        }
+    }
+
+    /// Lets the planner decide, and read what silent agents have kept.
+    fn decide(&mut self) {
+        self.planner.book.step(self.now);
+        for agent in self.planner.book.take_inquiries() {
+            let worker = self.workers.iter().find(|w| w.agent == agent);
+            let kept = worker.and_then(|worker| worker.kept.clone());
+            let sent = self.now.now;
+            let book = &mut self.planner.book;
+            book.inquired(&agent, kept, sent, self.now);
+        }
     }
 
     /// Lets tasks end, well or badly, with all members of their gangs.
@@ -420,7 +458,7 @@
         let sent = self.now.now;
         let report = self.report(at);
         self.planner.book.report(report, self.now);
-        self.planner.book.step(self.now);
+        self.decide();
         if !self.fault(4) {
             self.write();
         }
@@ -472,6 +510,8 @@
         }
         worker.token = token;
         worker.granted = worker.granted.max(sent + Terms::default().survival);
+        worker.answered = self.now.now;
+        worker.kept = None;
         worker.gone = None;
         let ordered = |refused: &Refused| {
             let start = |start: &Start| {
@@ -546,6 +586,16 @@
         });
         assert!(!twice, "TWICE: {task} runs already");
         assert!(!self.done.contains(task), "TWICE: {task} is done");
+        let kept = self.workers.iter().any(|worker| {
+            let kept = worker.kept.iter().filter_map(|r| r.worker.as_ref());
+            let mut ended = kept.flat_map(|worker| &worker.lists.ended);
+            // Not those that its lease has outlived before they were read.
+            ended.any(|end| {
+                let counts = end.number > worker.lapsed;
+                counts && end.task == *task && end.how == How::Done
+            })
+        });
+        assert!(!kept, "TWICE: {task} is done, and that is kept");
         let step = &job.steps[task.step];
         for before in &step.after {
             let all = (0..job.steps[*before].replicas).all(|index| {
@@ -635,8 +685,10 @@
         if self.fault(20) {
             let at = self.random.usize(..self.workers.len());
             self.workers[at].cut = self.random.u32(5..CUT);
+            self.workers[at].alone = self.stores.u32(..4) == 0;
         }
         self.work();
+        self.keep();
         for at in 0..self.workers.len() {
             self.sync(at);
         }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -11,6 +11,7 @@
 mod graph;
 mod graph_faults;
 mod in_touch;
+mod limits;
 mod near;
 mod odd_jobs;
 mod pace;
--- a/tests/it/spare.rs
+++ b/tests/it/spare.rs
@@ -35,7 +35,7 @@
     site.settle();
     assert_eq!(site.running("low"), 8);
     site.submit(job("urgent", 0, vec![step(1, 8, false)], &site));
-    site.book.step(site.now);
+    site.step();
     site.write();
     let starts = |site: &mut Site| {
         let agents: Vec<_> =
--- a/tests/it/takeover.rs
+++ b/tests/it/takeover.rs
@@ -43,7 +43,7 @@
         let report = worker.report();
         site.book.report(report, site.now);
     }
-    site.book.step(site.now);
+    site.step();
     site.write();
     // The second worker's order is lost, and the first is done alone.
     let [first, second] = [0, 1].map(|at| site.workers[at].agent.clone());
@@ -74,7 +74,7 @@
         let report = site.workers[*at].report();
         site.book.report(report, site.now);
     }
-    site.book.step(site.now);
+    site.step();
 }
 
 #[test]
