Let a planner take every agent of a large site

Cause: the limit of 100 connections at the planner's server was its library's default.

The callers' server has a limit too, and neither spins when no descriptor is left. Each limit that is met is told once a second and counted (landingvalve_limited).

Tests: a gang as wide as 240 agents begins (with a limit of 100 it never does); a caller above the limit is closed, the others are served.

--- a/src/cell/server.rs
+++ b/src/cell/server.rs
@@ -34,16 +34,32 @@
     pub report: u32,
 }
 
-/// The most connections unless told otherwise: the library's default.
-const CONNECTIONS: u32 = 100;
+/// How many connections an agent may have at once: the one it has just made,
+/// and one that was cut and that nobody has noticed yet.
+const PER_AGENT: u32 = 2;
+/// The most agents unless told otherwise: four times what the largest site
+/// played has, so that what binds is the machine and not this number.
+pub const AGENTS: u32 = 1000;
 
-impl Default for Limits {
-    fn default() -> Limits {
+impl Limits {
+    /// Returns what a planner takes on so many connections.
+    pub fn on(connections: u32) -> Limits {
         Limits {
-            connections: CONNECTIONS,
+            connections,
             report: link::MAX_MESSAGE,
         }
     }
+
+    /// Returns what a planner of so many agents takes.
+    pub fn of(agents: u32) -> Limits {
+        Limits::on(agents.saturating_mul(PER_AGENT))
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits::of(AGENTS)
+    }
 }
 
 /// A server that listens.
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -9,6 +9,7 @@
 pub use client::Reply;
 pub use client::Stream;
 pub use server::Handler;
+pub use server::Limit;
 pub use server::Server;
 
 use std::convert::Infallible;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -15,14 +15,53 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use crate::http::Request;
 use crate::http::Response;
+use crate::telemetry::metrics;
+use crate::telemetry::metrics::label;
 
 /// How long a caller may take over the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// The most bytes that the head of a request may have.
 const MAX_HEAD: usize = 16 * 1024;
+/// How long is waited after a connection could not be accepted: without, a
+/// process that has no descriptor left would do nothing but try.
+const AGAIN: Duration = Duration::from_millis(50);
+/// How often it is told that connections are turned away.
+const TELL: Duration = Duration::from_secs(1);
+/// The most connections unless told otherwise.
+const CONNECTIONS: usize = 4096;
+
+/// How many connections a server takes, and who is told when it takes no
+/// more.
+#[derive(Clone, Debug)]
+pub struct Limit {
+    /// The most connections; one more is closed at once.
+    pub connections: usize,
+    /// Where logs go.
+    pub log: slog::Logger,
+}
+
+impl Limit {
+    /// Tells what was turned away, once a second at most.
+    fn meet(&self, told: &mut Option<Instant>, error: Option<io::Error>) {
+        let limit = match error {
+            Some(_) => "descriptors",
+            None => "connections",
+        };
+        metrics::get().limited.add(1, &[label("limit", limit)]);
+        let now = Instant::now();
+        if told.is_some_and(|at| now < at + TELL) {
+            return;
+        }
+        *told = Some(now);
+        slog::warn!(self.log, "http: connections are turned away";
+            "limit" => limit, "most" => self.connections,
+            "error" => error.map(|error| error.to_string()));
+    }
+}
 
 /// What answers requests.
 pub trait Handler: Send + Sync + 'static {
@@ -49,11 +88,29 @@
     pub async fn start(
         address: SocketAddr,
         handler: Arc<impl Handler>,
+    ) -> io::Result<Server> {
+        let limit = Limit {
+            connections: CONNECTIONS,
+            log: crate::log::none(),
+        };
+        Server::limited(address, handler, limit).await
+    }
+
+    /// Listens on `address` and answers with `handler`, on so many
+    /// connections at once.
+    ///
+    /// # Errors
+    ///
+    /// If the address cannot be listened on.
+    pub async fn limited(
+        address: SocketAddr,
+        handler: Arc<impl Handler>,
+        limit: Limit,
     ) -> io::Result<Server> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let (stop, stopped) = watch::channel(false);
-        let task = tokio::spawn(accept(listener, handler, stopped));
+        let task = tokio::spawn(accept(listener, handler, limit, stopped));
         Ok(Server {
             address,
             stop,
@@ -68,7 +125,7 @@
 
     /// Stops accepting and returns once every request under way has its
     /// answer, or at the deadline.
-    pub async fn stop(self, deadline: tokio::time::Instant) {
+    pub async fn stop(self, deadline: Instant) {
         let _ = self.stop.send(true);
         let mut task = self.task;
         if tokio::time::timeout_at(deadline, &mut task).await.is_err() {
@@ -85,20 +142,30 @@
 async fn accept(
     listener: TcpListener,
     handler: Arc<impl Handler>,
+    limit: Limit,
     mut stopped: watch::Receiver<bool>,
 ) {
     let graceful = GracefulShutdown::new();
     // Dropped with this task, so that an abort ends every connection.
     let mut connections = tokio::task::JoinSet::new();
+    let mut told = None;
     loop {
         let stream = tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => stream,
-                Err(_) => continue,
+                Err(error) => {
+                    limit.meet(&mut told, Some(error));
+                    tokio::time::sleep(AGAIN).await;
+                    continue;
+                }
             },
             Some(_) = connections.join_next() => continue,
             _ = stopped.changed() => break,
         };
+        if connections.len() >= limit.connections {
+            limit.meet(&mut told, None);
+            continue;
+        }
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
         let service = service_fn(move |request| {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -216,6 +216,18 @@
         });
     }
 
+    /// Takes note that a value does not go with others.
+    pub fn refuse(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        expected: String,
+    ) {
+        let value = self.values.get(&(section, key));
+        let text = value.map(|(text, _)| text.clone()).unwrap_or_default();
+        self.problem(section, key, &text, expected);
+    }
+
     /// Returns a value that `read` accepts.
     pub fn value<T>(
         &mut self,
--- a/tests/it/limits.rs
+++ b/tests/it/limits.rs
@@ -1,7 +1,11 @@
 //! Limits of a planner's server: what holds while they are met.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::header::HeaderMap;
+use hyper::Method;
+use hyper::StatusCode;
 use jsonrpsee::ws_client::WsClient;
 use jsonrpsee::ws_client::WsClientBuilder;
 use landingvalve::cell::server::Limits;
@@ -9,7 +13,12 @@
 use landingvalve::cell::Submitted;
 use landingvalve::graph::How;
 use landingvalve::graph::Terms;
+use landingvalve::http;
+use landingvalve::http::Handler;
+use landingvalve::http::Request;
+use landingvalve::http::Response;
 use landingvalve::log;
+use tokio::task::JoinHandle;
 
 use crate::cell::job;
 use crate::cell::reaches;
@@ -42,6 +51,77 @@
     until("a connection", client).await
 }
 
+/// As many agents as the largest site played has.
+const AGENTS: usize = 240;
+
+#[tokio::test]
+async fn every_agent_of_a_large_site_is_heard() {
+    let store = Memory::default();
+    let limits = Limits::default();
+    let entry = Entry::limited("entry", &store, limits, terms()).await;
+    let survival = terms().survival;
+    let workers: Vec<Fake> = (0..AGENTS).map(|_| Fake::new()).collect();
+    let agents: Vec<_> = workers
+        .iter()
+        .enumerate()
+        .map(|(at, worker)| {
+            let name = format!("agent{at}");
+            surviving(&name, survival, LEASE, &store, worker)
+        })
+        .collect();
+    // A gang that takes every worker begins only once all are heard.
+    let mut whole = job("whole");
+    whole.steps[0].replicas = AGENTS as u32;
+    whole.steps[0].gang = true;
+    whole.steps[0].resources.accelerators = 8;
+    let admission = Admission::new(store.clone(), log::none());
+    let submitted = admission.submit(&whole, soon()).await;
+    assert_eq!(submitted, Submitted::Accepted);
+    for worker in &workers {
+        runs(worker, 1).await;
+    }
+    agents.iter().for_each(JoinHandle::abort);
+    entry.kill();
+}
+
+/// Answers at once.
+struct Hello;
+
+impl Handler for Hello {
+    async fn handle(&self, _request: Request) -> Response {
+        http::text(StatusCode::OK, "hello")
+    }
+}
+
+#[tokio::test]
+async fn a_caller_above_the_limit_is_closed_and_the_others_are_served() {
+    let limit = http::Limit {
+        connections: 1,
+        log: log::none(),
+    };
+    let any = ([127, 0, 0, 1], 0).into();
+    let server = http::Server::limited(any, Arc::new(Hello), limit);
+    let server = server.await.expect("a free port");
+    let url = format!("http://{}/", server.address());
+    let [first, second] = [(); 2].map(|()| http::Client::new());
+    let call = |client: http::Client| {
+        let url = url.clone();
+        async move {
+            let headers = HeaderMap::new();
+            let call =
+                client.call(Method::GET, &url, headers, "", soon()).await;
+            call.map(|reply| reply.status)
+        }
+    };
+    assert_eq!(call(first.clone()).await.ok(), Some(StatusCode::OK));
+    // The first one's connection stays open.
+    assert!(call(second.clone()).await.is_err(), "taken above the limit");
+    assert_eq!(call(first.clone()).await.ok(), Some(StatusCode::OK));
+    drop(first);
+    let taken = || async { call(second.clone()).await.ok() };
+    until("there is room again", taken).await;
+}
+
 #[tokio::test]
 async fn what_is_done_where_agents_are_turned_away_is_not_done_again() {
     let store = Memory::default();
