Test: a caller whose connection is not made asks again

Cause: under load 3 to 212 of 880 callers of one test, all in one process, were not connected within the client's 1 s (`not reached`, told by the error; no other answer was wrong), and counted as not shed. Change: such a caller asks again, as callers do; each of the 880 must now be answered, and other statuses are told.

--- a/tests/it/promises.rs
+++ b/tests/it/promises.rs
@@ -483,18 +483,28 @@
     let burst = (0..880).map(|round| {
         let id = format!("o{round}");
         let url = site.url(if round % 2 == 0 { "e1" } else { "e2" });
-        async move { support::submit(&url, job("small", &id, 60_000)).await }
+        // One whose connection is not made in time has asked for nothing yet.
+        async move {
+            let ask = || support::submit(&url, job("small", &id, 60_000));
+            support::until("an answer", ask).await
+        }
     });
     let answers = futures_util::future::join_all(burst).await;
     let of = |status: StatusCode| {
         let same = |a: &&support::Answer| a.status == status;
-        answers.iter().flatten().filter(same).count()
+        answers.iter().filter(same).count()
     };
-    assert_eq!(of(StatusCode::ACCEPTED), 100);
-    assert_eq!(of(StatusCode::TOO_MANY_REQUESTS), 780);
+    let others: Vec<StatusCode> = answers
+        .iter()
+        .map(|answer| answer.status)
+        .filter(|status| *status != StatusCode::ACCEPTED)
+        .filter(|status| *status != StatusCode::TOO_MANY_REQUESTS)
+        .collect();
+    let told = format!("others {others:?}");
+    assert_eq!(of(StatusCode::ACCEPTED), 100, "{told}");
+    assert_eq!(of(StatusCode::TOO_MANY_REQUESTS), 780, "{told}");
     let shed = answers
         .iter()
-        .flatten()
         .find(|a| a.status == StatusCode::TOO_MANY_REQUESTS)
         .unwrap();
     assert!(shed.headers.contains_key(RETRY_AFTER));
