--- /dev/null
+++ b/src/cell/planner/calls.rs
@@ -0,0 +1,144 @@
+//! The calls that a planner makes beside deciding: it goes on meanwhile, and
+//! is told what came of each.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use ractor::ActorRef;
+use tokio::time::Instant;
+
+use crate::cell::advice;
+use crate::cell::inquiry;
+use crate::cell::keys;
+use crate::cell::planner::Message;
+use crate::cell::planner::State;
+use crate::cell::writer;
+use crate::graph::AgentId;
+use crate::graph::Id;
+use crate::graph::Moment;
+use crate::graph::Report;
+use crate::store::Put;
+use crate::store::Store;
+
+/// How long records of ended jobs are kept; callers may ask for 120 s.
+const KEPT: Duration = Duration::from_secs(600);
+/// How many records are removed in one transaction of three entries each.
+const REMOVED: usize = 8;
+
+impl<S: Store> State<S> {
+    /// Asks who may run a step, one question at a time.
+    pub(super) fn ask(&mut self, myself: &ActorRef<Message>) {
+        let Some(desk) = self.advice.clone().filter(|_| !self.asking) else {
+            return;
+        };
+        let Some(question) = self.book.question(Moment::present()) else {
+            return;
+        };
+        self.asking = true;
+        let myself = myself.clone();
+        tokio::spawn(async move {
+            let sent = Instant::now();
+            let good = advice::ask(&desk, question.clone()).await;
+            // A planner that has stopped needs no answer.
+            let _ = myself.cast(Message::Advised(question, good, sent));
+        });
+    }
+
+    /// Reads what silent agents have kept, before what runs there is taken
+    /// for gone.
+    pub(super) fn inquire(&mut self, myself: &ActorRef<Message>) {
+        let agents = self.book.take_inquiries();
+        if agents.is_empty() {
+            return;
+        }
+        let store = self.store.clone();
+        let claim = self.claim.clone();
+        let log = self.log.clone();
+        let myself = myself.clone();
+        tokio::spawn(async move {
+            let Some((kept, sent)) = inquiry::read(&store, &claim, &log).await
+            else {
+                return;
+            };
+            // A planner that has stopped needs no answer.
+            let _ = myself.cast(Message::Inquired(agents, kept, sent));
+        });
+    }
+
+    pub(super) fn inquired(
+        &mut self,
+        agents: &[AgentId],
+        kept: Vec<Report>,
+        sent: Instant,
+    ) {
+        let now = Moment::present();
+        let mut kept: HashMap<AgentId, Report> =
+            kept.into_iter().map(|r| (r.agent.clone(), r)).collect();
+        for agent in agents {
+            let report = kept.remove(agent);
+            slog::info!(self.log, "planner: an agent is silent";
+                "agent" => &**agent, "kept" => report.is_some(),
+                "token" => self.claim.token);
+            self.book.inquired(agent, report, sent.into_std(), now);
+        }
+    }
+
+    pub(super) fn write(&mut self, myself: &ActorRef<Message>) {
+        if self.writing {
+            return;
+        }
+        let batch = self.book.unwritten(writer::MOST);
+        if batch.is_empty() {
+            return;
+        }
+        self.writing = true;
+        let store = self.store.clone();
+        let claim = self.claim.clone();
+        let known = self.known.of(&batch);
+        let myself = myself.clone();
+        tokio::spawn(async move {
+            let written = writer::write(&store, &claim, &known, &batch).await;
+            // A planner that has stopped needs no outcome.
+            let _ = myself.cast(Message::Written(written));
+        });
+    }
+
+    /// Removes the records of jobs that ended long ago.
+    pub(super) fn remove(&mut self, myself: &ActorRef<Message>) {
+        let before = SystemTime::now().checked_sub(KEPT);
+        let ids: Vec<Id> = match before {
+            Some(before) if !self.removing => self.book.ended_before(before),
+            _ => return,
+        };
+        let ids: Vec<Id> = ids.into_iter().take(REMOVED).collect();
+        if ids.is_empty() {
+            return;
+        }
+        self.removing = true;
+        let puts: Vec<Put> = ids
+            .iter()
+            .flat_map(|id| {
+                [keys::job(id), keys::cancel(id), keys::progress(id)]
+            })
+            .map(Put::Delete)
+            .collect();
+        let store = self.store.clone();
+        let condition = self.claim.condition();
+        let log = self.log.clone();
+        let myself = myself.clone();
+        tokio::spawn(async move {
+            let removed = store.swap(&[condition], puts).await;
+            let ids = match removed {
+                Ok(crate::store::Swap::Written(_)) => ids,
+                other => {
+                    slog::warn!(log, "planner: old records stay";
+                        "outcome" => ?other);
+                    Vec::new()
+                }
+            };
+            // A planner that has stopped needs no outcome.
+            let _ = myself.cast(Message::Removed(ids));
+        });
+    }
+}
--- a/src/cell/planner.rs
+++ b/src/cell/planner/mod.rs
@@ -1,10 +1,11 @@
 //! The planner: an actor that drives the books while the claim holds.
 
+mod calls;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
-use std::time::SystemTime;
 
 use ractor::Actor;
 use ractor::ActorProcessingErr;
@@ -13,11 +14,9 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::cell::advice;
 use crate::cell::advice::Desk;
 use crate::cell::claim::Claim;
 use crate::cell::configuration::Source;
-use crate::cell::inquiry;
 use crate::cell::keys;
 use crate::cell::keys::Intake;
 use crate::cell::rpc::Answer;
@@ -40,7 +39,6 @@
 use crate::store::Change;
 use crate::store::Item;
 use crate::store::Listing;
-use crate::store::Put;
 use crate::store::Store;
 use crate::telemetry::metrics;
 
@@ -54,10 +52,6 @@
 const REST: u32 = 4;
 /// The longest that a pass waits for that.
 const LONGEST_REST: Duration = Duration::from_millis(250);
-/// How long records of ended jobs are kept; callers may ask for 120 s.
-const KEPT: Duration = Duration::from_secs(600);
-/// How many records are removed in one transaction of three entries each.
-const REMOVED: usize = 8;
 
 /// What the planner is told.
 pub enum Message {
@@ -431,83 +425,6 @@
         }
     }
 
-    /// Asks who may run a step, one question at a time.
-    fn ask(&mut self, myself: &ActorRef<Message>) {
-        let Some(desk) = self.advice.clone().filter(|_| !self.asking) else {
-            return;
-        };
-        let Some(question) = self.book.question(Moment::present()) else {
-            return;
-        };
-        self.asking = true;
-        let myself = myself.clone();
-        tokio::spawn(async move {
-            let sent = Instant::now();
-            let good = advice::ask(&desk, question.clone()).await;
-            // A planner that has stopped needs no answer.
-            let _ = myself.cast(Message::Advised(question, good, sent));
-        });
-    }
-
-    /// Reads what silent agents have kept, before what runs there is taken
-    /// for gone.
-    fn inquire(&mut self, myself: &ActorRef<Message>) {
-        let agents = self.book.take_inquiries();
-        if agents.is_empty() {
-            return;
-        }
-        let store = self.store.clone();
-        let claim = self.claim.clone();
-        let log = self.log.clone();
-        let myself = myself.clone();
-        tokio::spawn(async move {
-            let Some((kept, sent)) = inquiry::read(&store, &claim, &log).await
-            else {
-                return;
-            };
-            // A planner that has stopped needs no answer.
-            let _ = myself.cast(Message::Inquired(agents, kept, sent));
-        });
-    }
-
-    fn inquired(
-        &mut self,
-        agents: &[AgentId],
-        kept: Vec<Report>,
-        sent: Instant,
-    ) {
-        let now = Moment::present();
-        let mut kept: HashMap<AgentId, Report> =
-            kept.into_iter().map(|r| (r.agent.clone(), r)).collect();
-        for agent in agents {
-            let report = kept.remove(agent);
-            slog::info!(self.log, "planner: an agent is silent";
-                "agent" => &**agent, "kept" => report.is_some(),
-                "token" => self.claim.token);
-            self.book.inquired(agent, report, sent.into_std(), now);
-        }
-    }
-
-    fn write(&mut self, myself: &ActorRef<Message>) {
-        if self.writing {
-            return;
-        }
-        let batch = self.book.unwritten(writer::MOST);
-        if batch.is_empty() {
-            return;
-        }
-        self.writing = true;
-        let store = self.store.clone();
-        let claim = self.claim.clone();
-        let known = self.known.of(&batch);
-        let myself = myself.clone();
-        tokio::spawn(async move {
-            let written = writer::write(&store, &claim, &known, &batch).await;
-            // A planner that has stopped needs no outcome.
-            let _ = myself.cast(Message::Written(written));
-        });
-    }
-
     fn tick(&mut self, myself: &ActorRef<Message>) {
         self.ticked = !self.book.is_idle();
         let now = Instant::now();
@@ -520,44 +437,6 @@
         self.answer(&old);
         self.remove(myself);
     }
-
-    /// Removes the records of jobs that ended long ago.
-    fn remove(&mut self, myself: &ActorRef<Message>) {
-        let before = SystemTime::now().checked_sub(KEPT);
-        let ids: Vec<Id> = match before {
-            Some(before) if !self.removing => self.book.ended_before(before),
-            _ => return,
-        };
-        let ids: Vec<Id> = ids.into_iter().take(REMOVED).collect();
-        if ids.is_empty() {
-            return;
-        }
-        self.removing = true;
-        let puts: Vec<Put> = ids
-            .iter()
-            .flat_map(|id| {
-                [keys::job(id), keys::cancel(id), keys::progress(id)]
-            })
-            .map(Put::Delete)
-            .collect();
-        let store = self.store.clone();
-        let condition = self.claim.condition();
-        let log = self.log.clone();
-        let myself = myself.clone();
-        tokio::spawn(async move {
-            let removed = store.swap(&[condition], puts).await;
-            let ids = match removed {
-                Ok(crate::store::Swap::Written(_)) => ids,
-                other => {
-                    slog::warn!(log, "planner: old records stay";
-                        "outcome" => ?other);
-                    Vec::new()
-                }
-            };
-            // A planner that has stopped needs no outcome.
-            let _ = myself.cast(Message::Removed(ids));
-        });
-    }
 }
 
 /// Returns the shape of a job in short: of each step its tasks, what each
