Keep ends under a lease, and wake an agent for it only when alone

Change: an agent sleeps until a third of its survival after the last answer; what it keeps hangs on a lease of 120 s. Test: limits::what_is_done_where_agents_are_turned_away_is_not_done_again, as before.

--- a/src/cell/member/keep.rs
+++ b/src/cell/member/keep.rs
@@ -19,9 +19,12 @@
 use crate::store::Store;
 use crate::store::Swap;
 
-/// How often is looked whether something must be kept. Well below the time
+/// How often, while no planner answers, it is looked whether something must be kept. Well below the time
 /// between the end of the last lease and the planner's look: 0.8 s.
 const LOOK: Duration = Duration::from_millis(250);
+/// How long ends are kept: many times as long as a planner waits before it
+/// looks, and not for ever where an agent goes and none comes in its place.
+const KEPT_FOR: Duration = Duration::from_secs(120);
 /// The share of the survival without a planner after which ends are kept:
 /// longer than it takes another to claim.
 const ALONE: f64 = 1.0 / 3.0;
@@ -41,23 +44,18 @@
     pub(super) async fn keep_ends(&self) {
         let alone = self.0.config.survival.mul_f64(ALONE);
         let mut kept = Kept::default();
-        let mut look = tokio::time::interval(LOOK);
-        let skip = tokio::time::MissedTickBehavior::Delay;
-        look.set_missed_tick_behavior(skip);
         loop {
-            look.tick().await;
             let now = Instant::now();
-            let report = {
-                let mut state = self.lock();
-                match now >= state.answered + alone {
-                    true => Some(state.report(&self.0.config, now)),
-                    false => None,
-                }
-            };
-            match report {
-                Some(report) => self.keep(report, &mut kept).await,
-                None if kept.ends.is_some() => self.clear(&mut kept).await,
-                None => {}
+            let due = self.lock().answered + alone;
+            if now >= due {
+                let report = self.lock().report(&self.0.config, now);
+                self.keep(report, &mut kept).await;
+                tokio::time::sleep(LOOK).await;
+            } else if kept.ends.is_some() {
+                self.clear(&mut kept).await;
+                tokio::time::sleep(LOOK).await;
+            } else {
+                tokio::time::sleep_until(due).await;
             }
         }
     }
@@ -83,7 +81,15 @@
                 return;
             }
         };
-        let put = |key| Put::Value(key, value, 0);
+        let lease = match self.0.store.grant(KEPT_FOR).await {
+            Ok(lease) => lease,
+            Err(error) => {
+                slog::debug!(self.0.config.log,
+                    "agent: ends are not kept"; "error" => %error);
+                return;
+            }
+        };
+        let put = |key| Put::Value(key, value, lease);
         if self.swap(put, kept).await {
             slog::info!(self.0.config.log,
                 "agent: ends are kept, no planner is reached";
