--- a/src/cell/claim.rs
+++ b/src/cell/claim.rs
@@ -24,9 +24,9 @@
 pub const TTL: Duration = Duration::from_millis(2000);
 /// How often it is renewed.
 pub const RENEW: Duration = Duration::from_millis(500);
-/// How long at most a process leaves a free claim to stronger ones: they see
-/// that it is free within 10 ms of each other, and take two calls of the
-/// store, which is 84 times as slow at its worst: 340 ms each.
+/// How long at most a process leaves a free claim to stronger ones: a call of
+/// the store takes 340 ms where it is 84 times as slow as usual, the slowest
+/// seen.
 const HESITATES: Duration = Duration::from_millis(400);
 /// The cores that a planner of 240 workers took at its busiest: what a
 /// process is measured by while nobody has claimed yet.
--- a/src/cell/server.rs
+++ b/src/cell/server.rs
@@ -43,7 +43,7 @@
 
 impl Limits {
     /// Returns what a planner takes on so many connections.
-    pub fn on(connections: u32) -> Limits {
+    pub fn of_connections(connections: u32) -> Limits {
         Limits {
             connections,
             report: link::MAX_MESSAGE,
@@ -51,14 +51,14 @@
     }
 
     /// Returns what a planner of so many agents takes.
-    pub fn of(agents: u32) -> Limits {
-        Limits::on(agents.saturating_mul(PER_AGENT))
+    pub fn of_agents(agents: u32) -> Limits {
+        Limits::of_connections(agents.saturating_mul(PER_AGENT))
     }
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits::of(AGENTS)
+        Limits::of_agents(AGENTS)
     }
 }
 
--- a/src/graph/place.rs
+++ b/src/graph/place.rs
@@ -114,8 +114,8 @@
     ) -> Option<Vec<Place>> {
         let candidates = self.candidates(request, now);
         let slots = candidates.iter().map(|c| c.slots(&request.charge));
-        // Most that wait in a full pool find no room anywhere: told by one
-        // walk, a pass over 240 full workers takes a third of the time.
+        // Most that wait in a full pool find no room anywhere: one walk tells
+        // so, in place of a copy of the candidates for each rack.
         if slots.map(u64::from).sum::<u64>() < u64::from(request.width) {
             return None;
         }
