Count workers that go down under a task, and give the task up

Cause: a worker that goes takes the only witness along, and its loss was counted against no task, so that two tasks began 33 and 25 times in two minutes and kept two of eleven workers down. Change: agents tell what had begun, or may have, in a life that is over; planners keep with a unit's progress how many workers went under each task, and how many of them before it was seen at work for 1 s. Three of the latter, or two runs more after three of any kind, end the job as failed. From the first on such a task is tried elsewhere, alone, and one of its job at a time, so that a step of 16 takes down 2, 1 and 1 workers. What was never handed over, or never reached its worker, counts against nobody; nor does a task that was at work on a worker that had said it leaves.

--- a/benches/pass.rs
+++ b/benches/pass.rs
@@ -151,6 +151,7 @@
             process: "process".to_owned(),
             sequence: self.sequence,
             gone: None,
+            before: None,
             worker: Some(WorkerReport {
                 life: format!("life{at:04}").into(),
                 pool: "pool".into(),
--- a/src/cell/member/act.rs
+++ b/src/cell/member/act.rs
@@ -148,6 +148,7 @@
         match answer {
             Ok(Ok(_)) => {
                 let mut state = self.lock();
+                state.begun(&call.life, key);
                 let known = state.worker.as_mut();
                 let known = known.filter(|k| k.beat.life == call.life);
                 let progress = known.and_then(|k| k.progress.get_mut(key));
@@ -171,7 +172,9 @@
                 self.fenced(call.token);
                 false
             }
-            Ok(Err(Error::OtherLife | Error::Lost(_))) | Err(_) => {
+            Ok(Err(Error::OtherLife | Error::Unreached(_))) => false,
+            Ok(Err(Error::Lost(_))) | Err(_) => {
+                self.lock().begun(&call.life, key);
                 *unsure = true;
                 false
             }
@@ -255,6 +258,7 @@
         Ok(Err(Error::Late(_))) => "late",
         Ok(Err(Error::Fenced)) => "fenced",
         Ok(Err(Error::OtherLife)) => "another life",
+        Ok(Err(Error::Unreached(_))) => "not reached",
         Ok(Err(Error::Lost(_))) | Err(_) => "no answer",
     };
     let labels = [label("kind", kind), label("outcome", outcome)];
--- a/src/cell/member/look.rs
+++ b/src/cell/member/look.rs
@@ -83,7 +83,7 @@
 
     async fn unlooked(&self, plan: &Plan, error: Error) -> Duration {
         count(match &error {
-            Error::Lost(_) => "no answer",
+            Error::Lost(_) | Error::Unreached(_) => "no answer",
             _ => "turned away",
         });
         match &error {
@@ -94,7 +94,7 @@
         let now = Instant::now();
         if matches!(error, Error::OtherLife) {
             self.left(&plan.call.life);
-        } else if !matches!(error, Error::Lost(_)) {
+        } else if !matches!(error, Error::Lost(_) | Error::Unreached(_)) {
             // Whatever it says, the worker lives.
             let mut state = self.lock();
             if let Some(known) = &mut state.worker {
--- a/src/cell/member/state.rs
+++ b/src/cell/member/state.rs
@@ -11,6 +11,8 @@
 use crate::cell::worker::Call;
 use crate::cell::worker::Look;
 use crate::cell::worker::WorkerTime;
+use crate::graph::Before;
+use crate::graph::Life;
 use crate::graph::Lists;
 use crate::graph::Orders;
 use crate::graph::Refusal;
@@ -34,6 +36,10 @@
 /// The least rest of a grant under which a task is still started.
 const LEAST_LEASE: Duration = Duration::from_millis(400);
 
+/// For how long it is told what had begun in a life that is over: longer
+/// than it takes a planner to claim and hear its agents.
+const TOLD: Duration = Duration::from_secs(20);
+
 /// A run of a task.
 pub type Key = (Task, Run);
 
@@ -73,6 +79,8 @@
     pub starts: BTreeMap<Key, Start>,
     pub stops: BTreeSet<Key>,
     pub progress: BTreeMap<Key, Progress>,
+    /// The runs that have begun, or may have, and whose end is not listed.
+    pub begun: BTreeSet<Key>,
     pub answered: Instant,
     /// How many looks in a row had no answer, whatever its heartbeats say.
     pub unanswered: u32,
@@ -118,6 +126,8 @@
     /// The highest token that the worker has called too low.
     pub fenced: Revision,
     pub worker: Option<Known>,
+    /// What had begun in the life before, and until when that is told.
+    before: Option<(Before, Instant)>,
 }
 
 impl State {
@@ -130,6 +140,7 @@
             answered: Instant::now(),
             fenced: 0,
             worker: None,
+            before: None,
         }
     }
 
@@ -142,6 +153,9 @@
         let known = match &mut self.worker {
             Some(known) if known.beat.life == beat.life => known,
             _ => {
+                let before = self.worker.as_ref().map(Known::before);
+                let before = before.map(|before| (before, now + TOLD));
+                self.before = before.or(self.before.take());
                 self.worker = Some(Known::new(beat, lease, now));
                 return News::Life;
             }
@@ -180,11 +194,15 @@
         let known = self.worker.as_ref();
         let over = known.filter(|known| known.is_over(now));
         let alive = known.filter(|known| !known.is_over(now));
+        let told = self.before.as_ref().filter(|(_, until)| now < *until);
+        let told = told.map(|(before, _)| before.clone());
+        let before = over.map(Known::before).or(told);
         Report {
             agent: config.agent.clone(),
             process: self.process.clone(),
             sequence: self.sequence,
             gone: over.map(|known| known.beat.life.clone()),
+            before,
             worker: alive.and_then(|known| known.report(now)),
         }
     }
@@ -263,10 +281,28 @@
                 .lists
                 .as_ref()
                 .is_none_or(|lists| runs(lists) != runs(&look.lists));
+        let ended = |key: &Key| {
+            let mut ended = look.lists.ended.iter();
+            ended.any(|end| (&end.task, end.run) == (&key.0, key.1))
+        };
+        known.begun.retain(|key| !ended(key));
         known.lists = Some(look.lists);
         known.confirm(plan.number) || new
     }
 
+    /// Takes in that a run has begun in a life, or may have.
+    pub fn begun(&mut self, life: &Life, key: &Key) {
+        match (&mut self.worker, &mut self.before) {
+            (Some(known), _) if known.beat.life == *life => {
+                known.begun.insert(key.clone());
+            }
+            (_, Some((before, _))) if before.life == *life => {
+                before.begun.push(key.clone());
+            }
+            _ => {}
+        }
+    }
+
     /// Takes in that a look had no answer; returns whether that is news: the
     /// worker now counts as deaf, or its life has come to its end.
     pub fn unanswered(&mut self, now: Instant) -> bool {
@@ -304,6 +340,7 @@
             starts: BTreeMap::new(),
             stops: BTreeSet::new(),
             progress: BTreeMap::new(),
+            begun: BTreeSet::new(),
             answered: now,
             unanswered: 0,
             // An earlier life of this process may have leased so long.
@@ -312,6 +349,14 @@
         }
     }
 
+    /// Returns what is told of this life once it is over.
+    fn before(&self) -> Before {
+        Before {
+            life: self.beat.life.clone(),
+            begun: self.begun.iter().cloned().collect(),
+        }
+    }
+
     /// Takes in that the worker lives.
     pub fn shows_life(&mut self, now: Instant) {
         self.answered = now;
--- a/src/cell/teller.rs
+++ b/src/cell/teller.rs
@@ -109,6 +109,7 @@
             metrics.run.record(ran.as_secs_f64(), &[label("how", how)]);
             "run ended"
         }
+        Decision::Blamed { .. } => "worker lost under a task",
         Decision::Over {
             outcome,
             took,
@@ -191,6 +192,17 @@
             "planner: a run has ended"; of, "run" => run, "member" => member,
             "worker" => &**life, "how" => how, "ran_ms" => millis(ran),
             "token" => token),
+        Decision::Blamed {
+            of,
+            run,
+            task,
+            life,
+            ran,
+            loss,
+        } => slog::warn!(log,
+            "planner: a worker was lost under a task"; of, "run" => run,
+            "task" => task, "worker" => &**life, "ran_ms" => millis(ran),
+            "lost" => loss.lost, "sudden" => loss.sudden, "token" => token),
         Decision::Over {
             job,
             account,
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -38,6 +38,9 @@
     /// The given end of the lease has passed on the worker's clock.
     #[error("the lease's end has passed on the worker's clock")]
     Late(WorkerTime),
+    /// No connection was made: it has had no effect.
+    #[error("not reached: {0}")]
+    Unreached(String),
     /// No answer: it may have had its effect, or may yet have.
     #[error("no answer: {0}")]
     Lost(String),
--- a/src/graph/book.rs
+++ b/src/graph/book.rs
@@ -14,6 +14,7 @@
 use crate::graph::pace::Filling;
 use crate::graph::unit::Why;
 use crate::graph::AgentId;
+use crate::graph::Before;
 use crate::graph::Decision;
 use crate::graph::Id;
 use crate::graph::Life;
@@ -108,6 +109,10 @@
     pub paced: Vec<(Task, Run)>,
     /// Whether its life is over, as far as its agent knows.
     pub gone: bool,
+    /// Whether it has said, while it still answered, that it is leaving.
+    pub announced: bool,
+    /// Until when a suspect has it alone.
+    pub trial: Option<Instant>,
 }
 
 impl Worker {
@@ -128,6 +133,8 @@
     /// When this planner claimed: no grant of an earlier one is later.
     pub(super) began: Instant,
     pub(super) workers: BTreeMap<AgentId, Worker>,
+    /// What agents say of the lives before those in the books.
+    pub(super) before: BTreeMap<AgentId, Before>,
     pub(super) jobs: BTreeMap<Id, Entry>,
     /// Jobs with units that are not done.
     pub(super) open: BTreeSet<Id>,
@@ -159,6 +166,7 @@
             terms,
             began: now.now,
             workers: BTreeMap::new(),
+            before: BTreeMap::new(),
             jobs: BTreeMap::new(),
             open: BTreeSet::new(),
             guarantees: BTreeMap::new(),
--- /dev/null
+++ b/src/graph/crash.rs
@@ -0,0 +1,228 @@
+//! Tasks under which workers go down.
+//!
+//! A worker that goes without a word takes the only witness along: whether
+//! it went because of a task that it ran, nobody lists. What can be told is
+//! under which tasks it went, and for how long it had carried them. A task
+//! that takes down each worker soon after its start is told from one that
+//! was there by chance by trying it again: elsewhere, alone, and one of its
+//! job at a time.
+
+use std::time::Duration;
+
+use crate::graph::book::Worker;
+use crate::graph::entry::Entry;
+use crate::graph::place::Request;
+use crate::graph::unit::Member;
+use crate::graph::unit::Phase;
+use crate::graph::AgentId;
+use crate::graph::Book;
+use crate::graph::Decision;
+use crate::graph::Loss;
+use crate::graph::Moment;
+use crate::graph::Place;
+use crate::graph::Resources;
+use crate::graph::Run;
+use crate::graph::UnitKey;
+
+/// How long a task must have been seen at work before the loss of its worker
+/// is not held to be its doing.
+const PROVEN: Duration = Duration::from_secs(1);
+/// For how long nothing else begins on a worker where a suspect has begun:
+/// until it is proven, and that is reported.
+const TRIAL: Duration = Duration::from_millis(1500);
+/// How long a suspect waits for a worker that runs nothing.
+const ALONE: Duration = Duration::from_secs(2);
+/// How many workers in a row may be lost under a task that was not proven on
+/// them. Callers' rules allow two; the third, alone on a worker of its own,
+/// tells a bad task from one that met two bad workers.
+const SUDDEN: u32 = 3;
+/// How many workers may be lost under a task at all before its runs are
+/// counted, and how many more it gets then: callers' rules allow no third.
+const LOST: u32 = 3;
+const MORE: Run = 2;
+/// How long a run goes on after which what was lost before it is forgotten.
+const FORGIVEN: Duration = Duration::from_secs(60);
+
+impl Loss {
+    /// Returns whether the task must not begin again after a run.
+    pub(super) fn is_spent(&self, run: Run) -> bool {
+        let more = run.saturating_sub(self.limit);
+        self.sudden >= SUDDEN || self.lost >= LOST && more >= MORE
+    }
+}
+
+impl Member {
+    /// Returns whether it was at work long enough for the loss of its worker
+    /// not to be its doing.
+    pub(super) fn is_proven(&self) -> bool {
+        self.ran() >= PROVEN
+    }
+
+    /// Returns how long it was seen at work, at least.
+    fn ran(&self) -> Duration {
+        let seen = self.seen.unwrap_or(self.since);
+        seen.saturating_duration_since(self.since)
+    }
+}
+
+impl Entry {
+    /// Returns whether a worker was suddenly lost under a task of a unit.
+    pub(super) fn is_suspect(&self, key: &UnitKey) -> bool {
+        if !self.blamed {
+            return false;
+        }
+        let kept = self.progress.units.get(key);
+        kept.is_some_and(|kept| kept.lost.values().any(|l| l.sudden > 0))
+    }
+
+    /// Returns whether a unit has taken down so many workers that it must
+    /// not begin again.
+    pub(super) fn is_spent(&self, key: &UnitKey) -> bool {
+        let kept = self.progress.units.get(key);
+        kept.is_some_and(|kept| {
+            kept.lost.values().any(|loss| loss.is_spent(kept.run))
+        })
+    }
+
+    /// Returns whether a suspect of the job is at work and not yet proven:
+    /// others would take down a worker each that this one may spare.
+    pub(super) fn is_on_trial(&self) -> bool {
+        if !self.blamed {
+            return false;
+        }
+        let suspects = self.units.iter().filter(|(key, unit)| {
+            matches!(unit.phase, Phase::Running(_)) && self.is_suspect(key)
+        });
+        let mut members = suspects.flat_map(|(_, unit)| unit.members());
+        members.any(|member| !member.is_proven())
+    }
+}
+
+impl Book {
+    /// Counts the loss of a member's worker against its task.
+    pub(super) fn blame(&mut self, id: &str, key: &UnitKey, member: &Member) {
+        let begun = self.begun(id, key, member);
+        let worker = self.workers.get(&member.place.agent);
+        let worker = worker.filter(|w| w.life == member.place.life);
+        let announced = worker.is_some_and(|worker| worker.announced);
+        // What was never handed to the agent has surely not begun there.
+        let never = !member.handed || begun == Some(false);
+        // Nothing begins on a worker that leaves, so that what is not proven
+        // there began just before: it may still be its doing.
+        if announced && member.is_proven() || never {
+            return;
+        }
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let of = entry.subject(key);
+        entry.blamed = true;
+        let kept = entry.progress.units.entry(*key).or_default();
+        let run = kept.run;
+        let loss = kept.lost.entry(member.index).or_default();
+        if loss.run >= run {
+            // Told before, to this planner or an earlier one.
+            return;
+        }
+        if member.ran() >= FORGIVEN {
+            *loss = Loss::default();
+        }
+        // How long an earlier planner has seen it at work is not known; and
+        // an agent that went with its worker tells nothing.
+        let known = begun.is_some() && !announced && !member.adopted;
+        let sudden = known && !member.is_proven();
+        loss.run = run;
+        loss.lost += 1;
+        if loss.lost == LOST {
+            loss.limit = run;
+        }
+        loss.sudden += u32::from(sudden);
+        let loss = *loss;
+        if sudden {
+            entry.acquitted = false;
+        }
+        self.touch(id);
+        self.note(Decision::Blamed {
+            of,
+            run,
+            task: member.index,
+            life: member.place.life.clone(),
+            ran: member.ran(),
+            loss,
+        });
+        if sudden {
+            self.avoid(id, key, &member.place.agent);
+        }
+    }
+
+    /// Returns whether a member had begun on its worker before that went, if
+    /// its agent tells so.
+    fn begun(&self, id: &str, key: &UnitKey, member: &Member) -> Option<bool> {
+        let before = self.before.get(&member.place.agent)?;
+        if before.life != member.place.life {
+            return None;
+        }
+        let entry = self.jobs.get(id)?;
+        let task = entry.task(key, member);
+        let run = entry.progress.units.get(key)?.run;
+        Some(before.begun.contains(&(task, run)))
+    }
+
+    /// Takes in that a suspect is proven: its siblings need no longer wait
+    /// for each other.
+    pub(super) fn acquit(&mut self, id: &str, key: &UnitKey) {
+        if let Some(entry) = self.jobs.get_mut(id) {
+            entry.acquitted |= entry.is_suspect(key);
+        }
+    }
+
+    /// Keeps everything else off the workers where a suspect begins, for as
+    /// long as its trial takes.
+    pub(super) fn try_alone(
+        &mut self,
+        id: &str,
+        key: &UnitKey,
+        places: &[Place],
+        now: Moment,
+    ) {
+        if !self.jobs.get(id).is_some_and(|entry| entry.is_suspect(key)) {
+            return;
+        }
+        for place in places {
+            if let Some(worker) = self.workers.get_mut(&place.agent) {
+                worker.trial = Some(now.now + TRIAL);
+            }
+        }
+    }
+
+    /// Returns the workers for a unit: for a suspect those that run nothing,
+    /// if they are enough or it has not waited for that yet.
+    pub(super) fn apart<'a>(
+        &self,
+        request: &Request,
+        sound: Vec<(&'a AgentId, &'a Worker)>,
+        now: Moment,
+    ) -> Vec<(&'a AgentId, &'a Worker)> {
+        if !request.suspect {
+            return sound;
+        }
+        let empty = |worker: &Worker| worker.used == Resources::default();
+        let alone = sound.iter().filter(|(_, worker)| empty(worker));
+        let slots = alone.map(|(_, w)| u64::from(request.slots(w))).sum();
+        let enough = u64::from(request.width) <= slots;
+        // What is urgent makes its own room, and does not wait for more.
+        let waits = request.priority > 0 && now.now < request.ready + ALONE;
+        match enough || waits {
+            true => sound.into_iter().filter(|(_, w)| empty(w)).collect(),
+            false => sound,
+        }
+    }
+
+    fn avoid(&mut self, id: &str, key: &UnitKey, agent: &AgentId) {
+        let entry = self.jobs.get_mut(id);
+        let unit = entry.and_then(|entry| entry.units.get_mut(key));
+        if let Some(unit) = unit {
+            unit.avoid.push(agent.clone());
+        }
+    }
+}
--- a/src/graph/decision.rs
+++ b/src/graph/decision.rs
@@ -5,6 +5,7 @@
 use crate::graph::AgentId;
 use crate::graph::Id;
 use crate::graph::Life;
+use crate::graph::Loss;
 use crate::graph::Outcome;
 use crate::graph::Run;
 use crate::graph::Text;
@@ -121,6 +122,21 @@
         /// How long after it was given out.
         ran: Duration,
     },
+    /// A worker went without a word while it ran a task.
+    Blamed {
+        /// The unit.
+        of: Subject,
+        /// Which run.
+        run: Run,
+        /// The task's number within its step.
+        task: u32,
+        /// The worker.
+        life: Life,
+        /// How long the task was seen at work there, at least.
+        ran: Duration,
+        /// All that were lost under the task.
+        loss: Loss,
+    },
     /// Another pace is ordered for what fills a worker.
     Paced {
         /// The worker's agent.
--- a/src/graph/entry.rs
+++ b/src/graph/entry.rs
@@ -31,6 +31,11 @@
     pub opened: BTreeSet<(u32, usize)>,
     /// How long whole runs of each step took.
     pub ran: BTreeMap<usize, Runs>,
+    /// Whether one of the units under which a worker was lost has since been
+    /// at work without that.
+    pub acquitted: bool,
+    /// Whether a worker was lost under any of its units: of most, none was.
+    pub blamed: bool,
     pub accepted: Instant,
 }
 
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -60,9 +60,12 @@
             units: Default::default(),
             opened: Default::default(),
             ran: Default::default(),
+            acquitted: false,
+            blamed: false,
             accepted,
         };
         let kept = entry.progress.units.clone();
+        entry.blamed = kept.values().any(|unit| !unit.lost.is_empty());
         for (key, kept) in &kept {
             adopt(&mut entry, key, kept, now.now);
         }
@@ -104,6 +107,9 @@
     /// Takes in what an agent says; returns whether it was news.
     pub fn report(&mut self, report: Report, now: Moment) -> bool {
         let agent = report.agent;
+        if let Some(before) = report.before {
+            self.before.insert(agent.clone(), before);
+        }
         if let Some(life) = report.gone {
             let agent = agent.clone();
             self.life_over(&Place { agent, life }, now);
@@ -216,6 +222,7 @@
                 .map(|ms| now.now + Duration::from_millis(ms));
             worker.leaving = said.leaving;
             worker.silent = said.silent;
+            worker.announced |= said.leaving && !said.silent;
         }
     }
 
@@ -229,9 +236,11 @@
         else {
             return false;
         };
+        let silent = self.workers.get(&place.agent).is_some_and(|w| w.silent);
         let Some(entry) = self.jobs.get_mut(&running.task.job) else {
             return false;
         };
+        let suspect = !entry.acquitted && entry.is_suspect(&key);
         let kept = entry.progress.units.get_mut(&key);
         let kept = kept
             .filter(|k| !running.saved.is_empty() && k.saved != running.saved);
@@ -258,6 +267,14 @@
             member.moved = now.now;
             member.worked = true;
         }
+        // What an agent lists of a worker that does not answer is old.
+        if !silent {
+            member.seen = Some(now.now);
+        }
+        let proven = member.is_proven();
+        if proven && suspect {
+            self.acquit(&running.task.job, &key);
+        }
         true
     }
 
@@ -373,6 +390,8 @@
         filling: Filling::new(now),
         paced: Vec::new(),
         gone: false,
+        announced: false,
+        trial: None,
     }
 }
 
@@ -397,6 +416,7 @@
         adopted: true,
         worked: true,
         moved: now,
+        seen: None,
     };
     let mut unit = Unit::new(now);
     unit.phase = match (kept.done, kept.on.is_empty()) {
--- a/src/graph/mod.rs
+++ b/src/graph/mod.rs
@@ -15,6 +15,7 @@
 
 mod advice;
 mod book;
+mod crash;
 mod decision;
 mod entry;
 mod health;
@@ -61,12 +62,14 @@
 pub use pace::Pace;
 pub use policy::Policy;
 pub use policy::Prediction;
+pub use progress::Loss;
 pub use progress::Outcome;
 pub use progress::Place;
 pub use progress::Progress;
 pub use progress::Unit as UnitProgress;
 pub use progress::UnitKey;
 pub use report::AgentId;
+pub use report::Before;
 pub use report::Ended;
 pub use report::How;
 pub use report::Life;
--- a/src/graph/place.rs
+++ b/src/graph/place.rs
@@ -40,6 +40,8 @@
     pub expected: Duration,
     /// Whether it may not fail once more.
     pub last: bool,
+    /// Whether a worker was suddenly lost under it.
+    pub suspect: bool,
 }
 
 impl Request {
@@ -66,6 +68,7 @@
             past_kept: false,
             expected,
             last: entry.is_last(key),
+            suspect: entry.is_suspect(key),
         }
     }
 
@@ -227,6 +230,7 @@
             .collect();
         let wary = self.terms.policy.probation && request.last;
         let sound = untried(request, sound, wary);
+        let sound = self.apart(request, sound, now);
         let spare = self.spare(request, &sound, now);
         sound
             .into_iter()
@@ -259,6 +263,7 @@
             && !worker.silent
             && !worker.gone
             && !worker.health.apart(now.now)
+            && worker.trial.is_none_or(|until| now.now >= until)
             && now.now < worker.granted + self.terms.contact
             && label.is_none_or(|label| worker.labels.contains(label))
             && worker.capacity.holds(&request.charge)
--- a/src/graph/progress.rs
+++ b/src/graph/progress.rs
@@ -91,6 +91,23 @@
     Cancelled,
 }
 
+/// The workers that went without a word while they ran a task.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize,
+)]
+pub struct Loss {
+    /// How many.
+    pub lost: u32,
+    /// How many of them before the task was seen at work for long.
+    pub sudden: u32,
+    /// The last run that was counted: its end may be told again, to another
+    /// planner.
+    pub run: Run,
+    /// The run under which there were so many that its further ones count.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub limit: Run,
+}
+
 /// What is kept of a unit that was started.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Unit {
@@ -103,6 +120,10 @@
     /// to another planner.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub counted: Run,
+    /// The workers that were lost under each of its tasks, by the task's
+    /// number.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub lost: BTreeMap<u32, Loss>,
     /// Whether it is done.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub done: bool,
--- a/src/graph/report.rs
+++ b/src/graph/report.rs
@@ -133,6 +133,16 @@
     pub refused: Vec<Refused>,
 }
 
+/// What an agent knows of a life of its worker that is over.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Before {
+    /// The life.
+    pub life: Life,
+    /// The runs that had begun there, or may have, and whose end it never
+    /// listed.
+    pub begun: Vec<(Task, Run)>,
+}
+
 /// What an agent says.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -145,6 +155,9 @@
     /// A life of its worker that is over.
     #[serde(default)]
     pub gone: Option<Life>,
+    /// The life that was over last, if that is not long ago.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub before: Option<Before>,
     /// Its worker, if there is one and its lists are known.
     pub worker: Option<Worker>,
 }
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -233,7 +233,13 @@
                     && unit.not_before <= now.now
             });
             let mut urgency = BTreeMap::new();
+            let mut on_trial = !entry.acquitted && entry.is_on_trial();
             for (key, _) in units {
+                let suspect = !entry.acquitted && entry.is_suspect(key);
+                if suspect && on_trial {
+                    continue;
+                }
+                on_trial |= suspect;
                 let (class, latest) = *urgency
                     .entry(key.time)
                     .or_insert_with(|| self.urgency(entry, key, now));
@@ -316,6 +322,7 @@
         for place in &places {
             self.occupy(place, &charge);
         }
+        self.try_alone(id, key, &places, now);
         let Some(entry) = self.jobs.get(id) else {
             return;
         };
@@ -381,6 +388,7 @@
         adopted: false,
         worked: false,
         moved: now.now,
+        seen: None,
     };
     places.iter().enumerate().map(member).collect()
 }
--- a/src/graph/settle.rs
+++ b/src/graph/settle.rs
@@ -84,6 +84,7 @@
         };
         let member = &mut members[at];
         member.state = State::Ended;
+        let lost = member.clone();
         let place = member.place.clone();
         let since = member.since;
         let began = !member.adopted;
@@ -129,6 +130,9 @@
             kept.failed += 1;
             self.touch(id);
         }
+        if end == End::Gone {
+            self.blame(id, key, &lost);
+        }
         if let Some(ran) = learnt {
             self.learn(&job, key, ran);
         }
@@ -292,7 +296,8 @@
             return;
         };
         kept.on.clear();
-        let spent = !lasting && kept.failed >= limit;
+        let failed = !lasting && kept.failed >= limit;
+        let spent = failed || entry.is_spent(key);
         self.touch(id);
         if spent && !over {
             self.finish(id, Outcome::Failed, now);
--- a/src/graph/unit.rs
+++ b/src/graph/unit.rs
@@ -33,6 +33,8 @@
     pub worked: bool,
     /// When it was last seen at work.
     pub moved: Instant,
+    /// When it was last listed by a worker that answers.
+    pub seen: Option<Instant>,
 }
 
 /// Where a unit stands.
--- a/tests/it/crashes.rs
+++ b/tests/it/crashes.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use landingvalve::graph::Before;
 use landingvalve::graph::Book;
 use landingvalve::graph::Job;
 use landingvalve::graph::Outcome;
@@ -112,3 +113,111 @@
     let starts = began(&site, "bad.0.0.0");
     assert!(starts <= CRASHES + MORE, "{starts} starts");
 }
+
+/// Takes workers down as [`crash`] does, and lets their agents tell what had
+/// begun there; returns how many they were.
+fn crash_told(site: &mut Site, bad: impl Fn(&Running) -> bool) -> usize {
+    for worker in &mut site.workers {
+        let begun = worker.running.iter().map(|r| (r.task.clone(), r.run));
+        let before = Before {
+            life: format!("{}-{}", worker.agent, worker.life).into(),
+            begun: begun.collect(),
+        };
+        if worker.running.iter().any(&bad) {
+            worker.before = Some(before);
+        }
+    }
+    crash(site, bad)
+}
+
+#[test]
+fn of_a_wide_step_one_task_alone_is_tried_again() {
+    // 16 tasks of one accelerator, each of which takes its worker down.
+    let mut site = Site::new(FOUR);
+    site.submit(job("bad", 1, vec![step(16, 1, false)], &site));
+    let mut crashed = Vec::new();
+    for _ in 0..60 {
+        round(&mut site);
+        crashed.push(crash_told(&mut site, |r| &*r.task.job == "bad"));
+    }
+    assert_eq!(site.outcome("bad"), Some(Outcome::Failed));
+    let crashed: Vec<usize> =
+        crashed.into_iter().filter(|count| *count > 0).collect();
+    // All at once at first, since nothing is known of them.
+    assert_eq!(crashed, [2, 1, 1]);
+}
+
+#[test]
+fn a_suspect_is_tried_where_it_takes_nobody_along() {
+    let mut site = Site::new(FOUR);
+    // A small task of another job on each of three workers.
+    for (id, at) in [("x", 0), ("y", 1), ("z", 2)] {
+        let mut small = step(1, 1, false);
+        small.label = Some(site.workers[at].agent.clone());
+        site.workers[at].labels = vec![site.workers[at].agent.clone()];
+        site.submit(job(id, 1, vec![small], &site));
+    }
+    site.settle();
+    site.submit(job("bad", 1, vec![step(1, 1, false)], &site));
+    let others = |r: &Running| &*r.task.job != "bad";
+    let mut taken_along = Vec::new();
+    for _ in 0..60 {
+        round(&mut site);
+        let with = site.workers.iter().filter(|worker| {
+            worker.running.iter().any(|r| &*r.task.job == "bad")
+        });
+        let with: Vec<usize> = with
+            .map(|w| w.running.iter().filter(|r| others(r)).count())
+            .collect();
+        taken_along.extend(with);
+        crash_told(&mut site, |r| &*r.task.job == "bad");
+    }
+    assert_eq!(site.outcome("bad"), Some(Outcome::Failed));
+    // It begins beside another, as nothing is known of it, and then alone.
+    assert_eq!(taken_along, [1, 0, 0]);
+    for id in ["x", "y", "z"] {
+        assert_eq!(site.outcome(id), None, "{id} goes on");
+        assert_eq!(site.running(id), 1, "{id} goes on");
+    }
+}
+
+#[test]
+fn a_task_that_was_at_work_when_its_workers_went_goes_on() {
+    let mut site = Site::new(FOUR);
+    site.submit(job("good", 1, vec![step(1, 8, false)], &site));
+    for _ in 0..3 {
+        // Two seconds of work each time.
+        for _ in 0..7 {
+            round(&mut site);
+        }
+        let lost = crash_told(&mut site, |r| &*r.task.job == "good");
+        assert_eq!(lost, 1);
+    }
+    round(&mut site);
+    assert_eq!(site.outcome("good"), None);
+    assert_eq!(site.running("good"), 1);
+    site.end_all("good");
+    site.settle();
+    assert_eq!(site.outcome("good"), Some(Outcome::Succeeded));
+}
+
+#[test]
+fn a_start_that_never_came_to_its_worker_counts_against_nobody() {
+    let mut site = Site::new(FOUR);
+    site.submit(job("good", 1, vec![step(1, 8, false)], &site));
+    for _ in 0..6 {
+        round(&mut site);
+        // Its worker went before the start came.
+        crash_told(&mut site, |r| &*r.task.job == "good");
+        for worker in &mut site.workers {
+            if let Some(before) = &mut worker.before {
+                before.begun.clear();
+            }
+        }
+    }
+    for _ in 0..4 {
+        round(&mut site);
+    }
+    assert_eq!(site.outcome("good"), None);
+    assert_eq!(site.running("good"), 1);
+}
