Tell what proves safety by a clock that goes on while the machine is suspended

Cause: the steady clock stands still while a machine is suspended. A planner that woke held a claim that had lapsed, an agent prolonged its worker's lease by a grant that was over, and an entry took knowledge of the configuration for fresh that was seconds old. Change: clock::Stamp, a type of its own, for the claim, the grant, when a planner was heard last and the age of the configuration; timers and time limits stay as they were. A stamp is the runtime's instant and the time that the machine was suspended, so that tests may move both. Conclusion: what wakes looks at a stamp before it acts.

--- a/src/cell/claim.rs
+++ b/src/cell/claim.rs
@@ -7,9 +7,9 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use tokio::time::Instant;
 
 use crate::cell::keys;
+use crate::clock::Stamp;
 use crate::store::Compare;
 use crate::store::Error;
 use crate::store::Item;
@@ -58,12 +58,12 @@
     /// The lease it hangs on.
     pub lease: LeaseId,
     /// Until when it surely holds.
-    valid: Arc<Mutex<Instant>>,
+    valid: Arc<Mutex<Stamp>>,
 }
 
 impl Claim {
     /// Returns a claim that holds until `valid`.
-    pub fn new(token: Revision, lease: LeaseId, valid: Instant) -> Claim {
+    pub fn new(token: Revision, lease: LeaseId, valid: Stamp) -> Claim {
         Claim {
             token,
             lease,
@@ -73,11 +73,11 @@
 
     /// Returns whether it surely holds now.
     pub fn holds(&self) -> bool {
-        Instant::now() < self.valid_until()
+        self.valid_until().is_ahead()
     }
 
     /// Returns until when it surely holds.
-    pub fn valid_until(&self) -> Instant {
+    pub fn valid_until(&self) -> Stamp {
         *self.valid.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -89,7 +89,7 @@
     /// Renews it once; returns whether it may still be held.
     pub async fn renew(&self, store: &impl Store) -> bool {
         // Counted from before the call: the lease began later.
-        let sent = Instant::now();
+        let sent = Stamp::now();
         let call = tokio::time::timeout(CALL, store.keep_alive(self.lease));
         match call.await {
             Ok(Ok(true)) => {
@@ -140,7 +140,7 @@
             return Ok(Tried::Other(item.modified));
         }
     }
-    let sent = Instant::now();
+    let sent = Stamp::now();
     let lease = store.grant(TTL).await?;
     let value = serde_json::to_vec(holder).unwrap_or_default();
     let mut puts = vec![Put::Value(keys::PLANNER.to_owned(), value, lease)];
--- a/src/cell/configuration.rs
+++ b/src/cell/configuration.rs
@@ -14,6 +14,7 @@
 use crate::cell::pause;
 use crate::cell::reach::Reach;
 use crate::cell::watch::Watch;
+use crate::clock::Stamp;
 use crate::graph::Advice;
 use crate::graph::Text;
 use crate::store::Error;
@@ -90,9 +91,9 @@
     /// The last revision that was seen, whether it could be read or not.
     seen: Revision,
     /// When the last call that showed it to be current was sent.
-    confirmed: Option<Instant>,
+    confirmed: Option<Stamp>,
     /// When the store has answered last.
-    heard: Option<Instant>,
+    heard: Option<Stamp>,
 }
 
 /// The configuration as this process knows it; it never goes back.
@@ -204,7 +205,7 @@
         decode: &impl Fn(&[u8]) -> Result<Configuration, E>,
         log: &slog::Logger,
     ) -> Result<(), Error> {
-        let sent = Instant::now();
+        let sent = Stamp::now();
         let items = match watch.next(store).await {
             Ok(items) => items,
             Err(Error::Forgotten(revision)) => {
@@ -225,7 +226,7 @@
     fn take<E: std::fmt::Display>(
         &self,
         item: Item,
-        sent: Instant,
+        sent: Stamp,
         decode: &impl Fn(&[u8]) -> Result<Configuration, E>,
         log: &slog::Logger,
     ) {
@@ -255,9 +256,9 @@
     }
 
     /// Takes in that all which was written before `sent` has been seen.
-    fn confirm(&self, sent: Instant) {
+    fn confirm(&self, sent: Stamp) {
         let mut known = self.lock();
-        known.heard = Some(Instant::now());
+        known.heard = Some(Stamp::now());
         // Of a version that cannot be read, only its being there is known.
         if known.seen == known.revision {
             known.confirmed = Some(sent);
--- a/src/cell/member/keep.rs
+++ b/src/cell/member/keep.rs
@@ -19,9 +19,12 @@
 use crate::store::Store;
 use crate::store::Swap;
 
-/// How often, while no planner answers, it is looked whether something must be kept. Well below the time
-/// between the end of the last lease and the planner's look: 0.8 s.
+/// How often, while no planner answers, it is looked whether something must
+/// be kept. Well below the time between the end of the last lease and the
+/// planner's look: 0.8 s.
 const LOOK: Duration = Duration::from_millis(250);
+/// How long is waited at most before it is looked whether that is due.
+const LOOK_AGAIN: Duration = Duration::from_secs(1);
 /// How long ends are kept: many times as long as a planner waits before it
 /// looks, and not for ever where an agent goes and none comes in its place.
 const KEPT_FOR: Duration = Duration::from_secs(120);
@@ -47,7 +50,7 @@
         loop {
             let now = Instant::now();
             let due = self.lock().answered + alone;
-            if now >= due {
+            if !due.is_ahead() {
                 let report = self.lock().report(&self.0.config, now);
                 self.keep(report, &mut kept).await;
                 tokio::time::sleep(LOOK).await;
@@ -55,7 +58,8 @@
                 self.clear(&mut kept).await;
                 tokio::time::sleep(LOOK).await;
             } else {
-                tokio::time::sleep_until(due).await;
+                // A timer stands still while the machine is suspended.
+                tokio::time::sleep(due.left().min(LOOK_AGAIN)).await;
             }
         }
     }
--- a/src/cell/member/link.rs
+++ b/src/cell/member/link.rs
@@ -14,6 +14,7 @@
 use crate::cell::rpc::Answer;
 use crate::cell::rpc::CellClient;
 use crate::cell::worker::Worker;
+use crate::clock::Stamp;
 use crate::store::Change;
 use crate::store::Item;
 use crate::store::Revision;
@@ -130,13 +131,13 @@
     /// Reports until the planner does not answer or is none any more.
     async fn report_to(&self, client: &Arc<WsClient>, token: Revision) {
         loop {
-            let sent = Instant::now();
+            let sent = Stamp::now();
             let report = {
                 let mut state = self.lock();
                 if state.fenced >= token {
                     return;
                 }
-                state.report(&self.0.config, sent)
+                state.report(&self.0.config, Instant::now())
             };
             let sync = client.sync(report);
             let answer = tokio::select! {
@@ -164,7 +165,7 @@
     fn take(
         &self,
         token: Revision,
-        granted: Option<Instant>,
+        granted: Option<Stamp>,
         orders: crate::graph::Orders,
     ) {
         let paces = orders.paces.clone();
--- a/src/cell/member/state.rs
+++ b/src/cell/member/state.rs
@@ -11,6 +11,7 @@
 use crate::cell::worker::Call;
 use crate::cell::worker::Look;
 use crate::cell::worker::WorkerTime;
+use crate::clock::Stamp;
 use crate::graph::Before;
 use crate::graph::Life;
 use crate::graph::Lists;
@@ -120,9 +121,9 @@
     /// The highest fencing token seen.
     pub token: Revision,
     /// Until when the worker's tasks may go on.
-    pub granted: Option<Instant>,
+    pub granted: Option<Stamp>,
     /// When a planner has answered last.
-    pub answered: Instant,
+    pub answered: Stamp,
     /// The highest token that the worker has called too low.
     pub fenced: Revision,
     pub worker: Option<Known>,
@@ -137,7 +138,7 @@
             sequence: 0,
             token: 0,
             granted: None,
-            answered: Instant::now(),
+            answered: Stamp::now(),
             fenced: 0,
             worker: None,
             before: None,
@@ -211,14 +212,14 @@
     pub fn orders(
         &mut self,
         token: Revision,
-        granted: Option<Instant>,
+        granted: Option<Stamp>,
         orders: Orders,
     ) -> Vec<Key> {
         if token < self.token {
             return Vec::new();
         }
         self.token = token;
-        self.answered = Instant::now();
+        self.answered = Stamp::now();
         self.granted = self.granted.max(granted);
         let Some(known) = &mut self.worker else {
             return Vec::new();
@@ -241,8 +242,9 @@
     pub fn target(&self, lease: Duration, now: Instant) -> Option<Instant> {
         let granted = self.granted?;
         let silent = self.worker.as_ref().is_some_and(|w| w.is_silent(now));
-        let may = granted > now + LEAST_LEASE && !silent;
-        may.then(|| granted.min(now + lease))
+        let left = granted.left();
+        let may = left > LEAST_LEASE && !silent;
+        may.then(|| now + left.min(lease))
     }
 
     /// Returns the next look.
--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,78 @@
+//! Time that goes on while the machine is suspended.
+//!
+//! The steady clock, which timers and time limits run on, stands still while
+//! a machine is suspended; the rest of the site does not. Whatever proves
+//! that something is still safe (a claim, a grant, the age of knowledge) is
+//! therefore told by a type of its own, [`Stamp`], which the compiler keeps
+//! apart from the instants of mere timers. A timer may wake late or early;
+//! what it wakes looks at a stamp before it acts.
+//!
+//! A stamp is an instant of the runtime's clock, which tests may stop and
+//! move, and what the machine was suspended for before it.
+
+use std::cell::Cell;
+use std::ops::Add;
+use std::time::Duration;
+
+use nix::time::clock_gettime;
+use nix::time::ClockId;
+use tokio::time::Instant;
+
+thread_local! {
+    /// What [`suspend`] has added.
+    static SUSPENDED: Cell<Duration> = const { Cell::new(Duration::ZERO) };
+}
+
+/// An instant by which safety is proven.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Stamp(Instant);
+
+impl Stamp {
+    /// Returns the present.
+    pub fn now() -> Stamp {
+        Stamp(Instant::now() + suspended())
+    }
+
+    /// Returns how long ago it was; zero if it is yet to come.
+    pub fn elapsed(self) -> Duration {
+        Stamp::now().0.saturating_duration_since(self.0)
+    }
+
+    /// Returns how long it is until then; zero if it is past.
+    pub fn left(self) -> Duration {
+        self.0.saturating_duration_since(Stamp::now().0)
+    }
+
+    /// Returns whether it is yet to come.
+    pub fn is_ahead(self) -> bool {
+        Stamp::now() < self
+    }
+}
+
+impl Add<Duration> for Stamp {
+    type Output = Stamp;
+
+    fn add(self, time: Duration) -> Stamp {
+        Stamp(self.0 + time)
+    }
+}
+
+/// Lets this thread see the machine as having been suspended for so long:
+/// for tests, where every test has a thread of its own.
+pub fn suspend(time: Duration) {
+    SUSPENDED.with(|suspended| suspended.set(suspended.get() + time));
+}
+
+/// Returns for how long the machine was suspended since it started.
+fn suspended() -> Duration {
+    let read = |clock| clock_gettime(clock).map(Duration::from);
+    // The steady clock first: read later, it would seem to have gone on.
+    let steady = read(ClockId::CLOCK_MONOTONIC);
+    let whole = read(ClockId::CLOCK_BOOTTIME);
+    let real = match (steady, whole) {
+        (Ok(steady), Ok(whole)) => whole.saturating_sub(steady),
+        // A kernel without that clock counts no suspension.
+        _ => Duration::ZERO,
+    };
+    real + SUSPENDED.with(Cell::get)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -102,6 +102,7 @@
 pub mod account;
 pub mod agent;
 pub mod cell;
+pub mod clock;
 pub mod config;
 pub mod endpoint;
 pub mod entry;
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -295,6 +295,8 @@
     starts_broken_off: u32,
     /// How many starts are not answered, and may be carried out later.
     late: u32,
+    /// Whether the last look prolonged its lease.
+    prolonged: bool,
     /// Whether it has no room.
     full: bool,
     /// The job whose tasks take it down as they begin.
@@ -332,6 +334,11 @@
         self.tasks.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether the last look at it prolonged its lease.
+    pub fn is_prolonged(&self) -> bool {
+        self.lock().prolonged
+    }
+
     /// Lets the tasks of a job take it down as they begin.
     pub fn crash_under(&self, job: &'static str) {
         self.lock().bad = Some(job);
@@ -492,9 +499,10 @@
         &self,
         call: &Call,
         noted: u64,
-        _expires: Option<WorkerTime>,
+        expires: Option<WorkerTime>,
         wait: Duration,
     ) -> Result<Look, worker::Error> {
+        self.lock().prolonged = expires.is_some();
         self.speak().await?;
         let deadline = Instant::now() + wait.min(Duration::from_millis(50));
         loop {
@@ -525,7 +533,7 @@
 }
 
 impl Entry {
-    async fn start(name: &str, store: &Memory) -> Entry {
+    pub async fn start(name: &str, store: &Memory) -> Entry {
         Entry::logged(name, store, log::none()).await
     }
 
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -31,5 +31,6 @@
 mod spare;
 mod stage;
 mod support;
+mod suspended;
 mod takeover;
 mod whole_path;
