Start nothing where a worker's room has shrunk, and take back what was ordered

Cause: a worker's capacity may shrink while it runs, and one that does not guard it begins whatever it is told. An order on its way, one repeated after a lost answer, or one that a new planner gave again brought it over its room. Change: planners take back what was ordered there and has not begun, and give up room kept where it will never be; orders say what a start takes, and an agent whose worker has shrunk holds back what does not fit, barred, beside what has begun there. A line of the planner and the metric landingvalve_decisions tell of each change of room.

--- a/src/cell/member/act.rs
+++ b/src/cell/member/act.rs
@@ -138,6 +138,11 @@
             let barred = !*unsure || self.bar(call, key).await;
             return barred && self.refuse(call, key, Refusal::Leaving);
         }
+        if !self.has_room(call, start, key) {
+            // Barred, it stays undone when the room comes back.
+            let barred = self.bar(call, key).await;
+            return barred && self.refuse(call, key, Refusal::Room);
+        }
         let answer = self.0.worker.start(call, start, expires);
         let sent = Instant::now();
         let answer = tokio::time::timeout(ANSWER, answer).await;
@@ -148,7 +153,7 @@
         match answer {
             Ok(Ok(_)) => {
                 let mut state = self.lock();
-                state.begun(&call.life, key);
+                state.begun(&call.life, key, start.charge);
                 let known = state.worker.as_mut();
                 let known = known.filter(|k| k.beat.life == call.life);
                 let progress = known.and_then(|k| k.progress.get_mut(key));
@@ -158,7 +163,10 @@
                 true
             }
             Ok(Err(Error::Refused(why))) => {
-                let barred = !*unsure || self.bar(call, key).await;
+                // Room comes back: what was refused for it is done elsewhere
+                // by then, and must not begin here by an old order.
+                let sure = !*unsure && why != Refusal::Room;
+                let barred = sure || self.bar(call, key).await;
                 barred && self.refuse(call, key, why)
             }
             Ok(Err(Error::Late(time))) => {
@@ -174,7 +182,7 @@
             }
             Ok(Err(Error::OtherLife | Error::Unreached(_))) => false,
             Ok(Err(Error::Lost(_))) | Err(_) => {
-                self.lock().begun(&call.life, key);
+                self.lock().begun(&call.life, key, start.charge);
                 *unsure = true;
                 false
             }
@@ -216,6 +224,13 @@
         self.0.news.notify_one();
     }
 
+    fn has_room(&self, call: &Call, start: &Start, key: &Key) -> bool {
+        let state = self.lock();
+        let known = state.worker.as_ref();
+        let known = known.filter(|known| known.beat.life == call.life);
+        known.is_none_or(|known| known.has_room(key, start))
+    }
+
     fn leaves(&self, call: &Call) -> bool {
         let state = self.lock();
         state.worker.as_ref().is_some_and(|known| {
--- a/src/cell/member/state.rs
+++ b/src/cell/member/state.rs
@@ -19,6 +19,7 @@
 use crate::graph::Refusal;
 use crate::graph::Refused;
 use crate::graph::Report;
+use crate::graph::Resources;
 use crate::graph::Run;
 use crate::graph::Start;
 use crate::graph::Stop;
@@ -80,8 +81,11 @@
     pub starts: BTreeMap<Key, Start>,
     pub stops: BTreeSet<Key>,
     pub progress: BTreeMap<Key, Progress>,
-    /// The runs that have begun, or may have, and whose end is not listed.
-    pub begun: BTreeSet<Key>,
+    /// The runs that have begun, or may have, and whose end is not listed;
+    /// what each takes.
+    pub begun: BTreeMap<Key, Resources>,
+    /// Whether it has had more room in this life than it has now.
+    pub shrunk: bool,
     pub answered: Instant,
     /// How many looks in a row had no answer, whatever its heartbeats say.
     pub unanswered: u32,
@@ -168,6 +172,7 @@
         known.shows_life(now);
         let same = known.beat.leaving == beat.leaving
             && known.beat.capacity == beat.capacity;
+        known.shrunk |= !beat.capacity.holds(&known.beat.capacity);
         // A worker that has said so does not come back from leaving.
         let leaving = known.beat.leaving || beat.leaving;
         known.beat = Heartbeat { leaving, ..beat };
@@ -287,16 +292,16 @@
             let mut ended = look.lists.ended.iter();
             ended.any(|end| (&end.task, end.run) == (&key.0, key.1))
         };
-        known.begun.retain(|key| !ended(key));
+        known.begun.retain(|key, _| !ended(key));
         known.lists = Some(look.lists);
         known.confirm(plan.number) || new
     }
 
     /// Takes in that a run has begun in a life, or may have.
-    pub fn begun(&mut self, life: &Life, key: &Key) {
+    pub fn begun(&mut self, life: &Life, key: &Key, charge: Resources) {
         match (&mut self.worker, &mut self.before) {
             (Some(known), _) if known.beat.life == *life => {
-                known.begun.insert(key.clone());
+                known.begun.insert(key.clone(), charge);
             }
             (_, Some((before, _))) if before.life == *life => {
                 before.begun.push(key.clone());
@@ -342,7 +347,8 @@
             starts: BTreeMap::new(),
             stops: BTreeSet::new(),
             progress: BTreeMap::new(),
-            begun: BTreeSet::new(),
+            begun: BTreeMap::new(),
+            shrunk: false,
             answered: now,
             unanswered: 0,
             // An earlier life of this process may have leased so long.
@@ -351,11 +357,25 @@
         }
     }
 
+    /// Returns whether a start fits beside what has begun, where the room
+    /// has shrunk since orders were given: a worker that does not guard its
+    /// room would begin it all the same.
+    pub fn has_room(&self, key: &Key, start: &Start) -> bool {
+        if !self.shrunk || self.lists(key) {
+            return true;
+        }
+        // Its own start without answer may not have been carried out.
+        let others = self.begun.iter().filter(|(other, _)| *other != key);
+        let taken =
+            others.fold(start.charge, |sum, (_, charge)| sum.plus(charge));
+        self.beat.capacity.holds(&taken)
+    }
+
     /// Returns what is told of this life once it is over.
     fn before(&self) -> Before {
         Before {
             life: self.beat.life.clone(),
-            begun: self.begun.iter().cloned().collect(),
+            begun: self.begun.keys().cloned().collect(),
         }
     }
 
--- a/src/cell/teller.rs
+++ b/src/cell/teller.rs
@@ -56,6 +56,7 @@
         let budget = match decision {
             Decision::Known { .. }
             | Decision::Gone { .. }
+            | Decision::Resized { .. }
             | Decision::Apart { .. }
             | Decision::Paced { .. } => &mut self.workers,
             _ => &mut self.units,
@@ -92,6 +93,7 @@
     let kind = match decision {
         Decision::Known { .. } => "worker known",
         Decision::Gone { .. } => "worker gone",
+        Decision::Resized { .. } => "worker resized",
         Decision::Apart { .. } => "worker kept apart",
         Decision::Paced { .. } => "paced",
         Decision::Waits { what, .. } => match what {
@@ -138,6 +140,17 @@
         Decision::Gone { life, silent } => slog::warn!(log,
             "planner: a worker is taken for gone"; "worker" => &**life,
             "silent_ms" => millis(silent), "token" => token),
+        Decision::Resized {
+            life,
+            from,
+            to,
+            used,
+        } => slog::info!(log,
+            "planner: a worker's room has changed"; "worker" => &**life,
+            "cpu" => to.cpu, "memory" => to.memory,
+            "accelerators" => to.accelerators,
+            "accelerators_before" => from.accelerators,
+            "accelerators_used" => used.accelerators, "token" => token),
         Decision::Apart { life, time, failed } => slog::warn!(log,
             "planner: a worker is kept apart"; "worker" => &**life,
             "for_ms" => millis(time), "failed" => failed, "token" => token),
--- a/src/graph/book.rs
+++ b/src/graph/book.rs
@@ -147,6 +147,9 @@
     pub(super) leave: BTreeMap<StepKey, Leave>,
     /// What is asked about agents that are silent.
     pub(super) inquiries: BTreeMap<AgentId, Inquiry>,
+    /// Workers on which more is placed than they have had room for since
+    /// they shrank, until that is looked at.
+    pub(super) crowded: BTreeSet<AgentId>,
     pub(super) dirty: BTreeSet<Id>,
     pub(super) stirred: BTreeSet<AgentId>,
     /// Whether anything came in since the last pass that may change what it
@@ -174,6 +177,7 @@
             urgent: BTreeMap::new(),
             leave: BTreeMap::new(),
             inquiries: BTreeMap::new(),
+            crowded: BTreeSet::new(),
             dirty: BTreeSet::new(),
             stirred: BTreeSet::new(),
             changed: true,
--- a/src/graph/decision.rs
+++ b/src/graph/decision.rs
@@ -7,6 +7,7 @@
 use crate::graph::Life;
 use crate::graph::Loss;
 use crate::graph::Outcome;
+use crate::graph::Resources;
 use crate::graph::Run;
 use crate::graph::Text;
 use crate::graph::UnitKey;
@@ -52,6 +53,17 @@
         /// How long nothing was heard of it.
         silent: Duration,
     },
+    /// A worker's room has changed.
+    Resized {
+        /// Its life.
+        life: Life,
+        /// What it had.
+        from: Resources,
+        /// What it has now.
+        to: Resources,
+        /// What is placed there, and kept.
+        used: Resources,
+    },
     /// A worker is kept apart.
     Apart {
         /// Its life.
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -203,6 +203,11 @@
                 life,
             });
             let worker = fresh(said, used, now.now);
+            // It may have shrunk since an earlier planner gave something
+            // out there.
+            if !worker.capacity.holds(&worker.used) {
+                self.crowded.insert(agent.clone());
+            }
             self.workers.insert(agent.clone(), worker);
         }
         if let Some(worker) = self.workers.get_mut(agent) {
@@ -216,7 +221,6 @@
             worker.granted = now.now;
             worker.process = process;
             worker.gone = false;
-            worker.capacity = said.capacity;
             worker.stays = said
                 .remaining_ms
                 .map(|ms| now.now + Duration::from_millis(ms));
@@ -224,6 +228,7 @@
             worker.silent = said.silent;
             worker.announced |= said.leaving && !said.silent;
         }
+        self.resize(agent, said.capacity);
     }
 
     fn take_running(
--- a/src/graph/mod.rs
+++ b/src/graph/mod.rs
@@ -34,6 +34,7 @@
 mod reserve;
 mod schedule;
 mod settle;
+mod shrink;
 mod spare;
 mod unit;
 mod urgency;
--- a/src/graph/orders.rs
+++ b/src/graph/orders.rs
@@ -14,6 +14,7 @@
 use crate::graph::Book;
 use crate::graph::Life;
 use crate::graph::Pace;
+use crate::graph::Resources;
 use crate::graph::Run;
 use crate::graph::StepKey;
 use crate::graph::Task;
@@ -33,6 +34,9 @@
     pub saved: Option<String>,
     /// The leave to run there, where one is needed.
     pub ticket: Option<String>,
+    /// What it takes of the worker's room.
+    #[serde(default)]
+    pub charge: Resources,
 }
 
 /// A run to be stopped.
@@ -177,6 +181,7 @@
                     saved: Some(kept.from.clone())
                         .filter(|from| !from.is_empty()),
                     ticket: leave.and_then(|leave| leave.ticket(life)),
+                    charge: entry.job.steps[key.step].charge(),
                 });
             }
             _ => {}
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -49,6 +49,7 @@
         self.end_broken(now);
         self.stop_stuck(now);
         self.leave(now);
+        self.take_back(now);
         self.open_units(now);
         self.start_reserved(now);
         // Where one task finds no room, its like find none either.
@@ -192,7 +193,8 @@
                     && leave.allows(&worker.life, now.now)
             })
         };
-        if !unit.members().all(|member| usable(&member.place)) {
+        let fits = self.could_have_room(unit, &request.charge);
+        if !fits || !unit.members().all(|member| usable(&member.place)) {
             self.unreserve(id, key);
         }
     }
@@ -206,12 +208,7 @@
         let Some(unit) = entry.units.get(key) else {
             return false;
         };
-        let mut needs: BTreeMap<&Place, Resources> = BTreeMap::new();
-        for member in unit.members() {
-            let need = needs.entry(&member.place).or_default();
-            *need = need.plus(&charge);
-        }
-        needs.iter().all(|(place, need)| {
+        needs(unit, &charge).iter().all(|(place, need)| {
             let worker = self.workers.get(&place.agent);
             worker.is_some_and(|worker| {
                 worker.life == place.life && worker.empty().holds(need)
@@ -219,6 +216,15 @@
         })
     }
 
+    /// Returns whether the room that is kept for a unit would be enough once
+    /// nothing else is left in it: its workers may have shrunk.
+    fn could_have_room(&self, unit: &Unit, charge: &Resources) -> bool {
+        needs(unit, charge).iter().all(|(place, need)| {
+            let worker = self.workers.get(&place.agent);
+            worker.is_some_and(|worker| worker.capacity.holds(need))
+        })
+    }
+
     fn waiting(&self, now: Moment) -> Vec<Waiting> {
         let mut waiting = Vec::new();
         for id in &self.open {
@@ -369,6 +375,19 @@
     }
 }
 
+/// Returns what a unit's members need on each worker.
+fn needs<'a>(
+    unit: &'a Unit,
+    charge: &Resources,
+) -> BTreeMap<&'a Place, Resources> {
+    let mut needs: BTreeMap<&Place, Resources> = BTreeMap::new();
+    for member in unit.members() {
+        let need = needs.entry(&member.place).or_default();
+        *need = need.plus(charge);
+    }
+    needs
+}
+
 fn lives(places: &[Place]) -> Vec<Life> {
     places.iter().map(|place| place.life.clone()).collect()
 }
--- /dev/null
+++ b/src/graph/shrink.rs
@@ -0,0 +1,71 @@
+//! Workers whose room shrinks and grows while they run.
+//!
+//! A worker says so with its next heartbeat. What runs there goes on, though
+//! it may be more than there is room for now; nothing is added until it fits
+//! again, and what was ordered and has not begun is taken back: a worker that
+//! does not guard its room would begin it all the same.
+
+use crate::graph::unit::Phase;
+use crate::graph::unit::State;
+use crate::graph::unit::Why;
+use crate::graph::AgentId;
+use crate::graph::Book;
+use crate::graph::Decision;
+use crate::graph::Id;
+use crate::graph::Moment;
+use crate::graph::Resources;
+use crate::graph::UnitKey;
+
+impl Book {
+    /// Takes in what room a worker has now.
+    pub(super) fn resize(&mut self, agent: &AgentId, to: Resources) {
+        let Some(worker) = self.workers.get_mut(agent) else {
+            return;
+        };
+        if worker.capacity == to {
+            return;
+        }
+        let resized = Decision::Resized {
+            life: worker.life.clone(),
+            from: worker.capacity,
+            to,
+            used: worker.used,
+        };
+        worker.capacity = to;
+        // What is kept for units that have not begun is looked at by itself.
+        let taken = worker.used.minus(&worker.kept);
+        if !to.holds(&taken) {
+            self.crowded.insert(agent.clone());
+        }
+        self.note(resized);
+    }
+
+    /// Takes back what was ordered where the room has shrunk, as far as it
+    /// has not begun.
+    pub(super) fn take_back(&mut self, now: Moment) {
+        for agent in std::mem::take(&mut self.crowded) {
+            for (id, key) in self.ordered_on(&agent) {
+                self.stop_unit(&id, &key, Why::Shrunk, now);
+            }
+        }
+    }
+
+    /// Returns the units with a member on a worker that is not known to have
+    /// begun there.
+    fn ordered_on(&self, agent: &AgentId) -> Vec<(Id, UnitKey)> {
+        let mut ordered = Vec::new();
+        for entry in self.live() {
+            for (key, unit) in &entry.units {
+                let runs = matches!(unit.phase, Phase::Running(_));
+                let here = unit.members().any(|member| {
+                    member.place.agent == *agent
+                        && matches!(member.state, State::Ordered(_))
+                });
+                if runs && here {
+                    ordered.push((entry.job.id.clone(), *key));
+                }
+            }
+        }
+        ordered
+    }
+}
--- a/src/graph/unit.rs
+++ b/src/graph/unit.rs
@@ -64,6 +64,8 @@
     Stuck,
     /// Its worker is leaving before it would be done.
     Leaving,
+    /// It had not begun when its worker's room shrank.
+    Shrunk,
 }
 
 impl Why {
@@ -75,6 +77,7 @@
             Why::Broken => "member lost",
             Why::Stuck => "stuck",
             Why::Leaving => "worker leaving",
+            Why::Shrunk => "worker has shrunk",
         }
     }
 }
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -295,6 +295,14 @@
     starts_broken_off: u32,
     /// How many starts are not answered, and may be carried out later.
     late: u32,
+    /// How many of them were not.
+    lost_starts: u32,
+    /// The accelerators that it has, if not 8.
+    accelerators: Option<i64>,
+    /// How many looks it has answered.
+    looks: u32,
+    /// How many heartbeats it has sent.
+    beats: u32,
     /// Whether the last look prolonged its lease.
     prolonged: bool,
     /// Whether it has no room.
@@ -334,6 +342,31 @@
         self.tasks.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Leaves the next starts without answer, and undone.
+    pub fn lose_starts(&self, count: u32) {
+        self.lock().late = count;
+    }
+
+    /// Returns how many starts were left without answer.
+    pub fn lost_starts(&self) -> u32 {
+        self.lock().lost_starts
+    }
+
+    /// Changes how many accelerators it has.
+    pub fn shrink(&self, accelerators: i64) {
+        self.lock().accelerators = Some(accelerators);
+    }
+
+    /// Returns how many heartbeats it has sent.
+    pub fn beats(&self) -> u32 {
+        self.lock().beats
+    }
+
+    /// Returns how many looks it has answered.
+    pub fn looks(&self) -> u32 {
+        self.lock().looks
+    }
+
     /// Returns whether the last look at it prolonged its lease.
     pub fn is_prolonged(&self) -> bool {
         self.lock().prolonged
@@ -430,6 +463,7 @@
             let mut tasks = self.fenced(call)?;
             if tasks.late > 0 {
                 tasks.late -= 1;
+                tasks.lost_starts += 1;
                 return Err(worker::Error::Lost("on demand".to_owned()));
             }
             if tasks.full {
@@ -510,6 +544,7 @@
                 let mut tasks = self.fenced(call)?;
                 tasks.ended.retain(|ended| ended.number > noted);
                 if !tasks.ended.is_empty() || Instant::now() >= deadline {
+                    tasks.looks += 1;
                     return Ok(Look {
                         time: self.time(),
                         lists: Lists {
@@ -657,6 +692,7 @@
                 beat.tick().await;
                 if !worker.lock().mute {
                     member.heartbeat(heartbeat(&worker, sequence));
+                    worker.lock().beats += 1;
                 }
             }
         };
@@ -676,7 +712,7 @@
         capacity: Resources {
             cpu: 64_000,
             memory: 100_000,
-            accelerators: 8,
+            accelerators: worker.lock().accelerators.unwrap_or(8),
         },
         leaving: false,
         remaining: None,
--- a/tests/it/graph.rs
+++ b/tests/it/graph.rs
@@ -32,6 +32,7 @@
     pub number: u64,
     pub noted: u64,
     pub leaving: bool,
+    pub capacity: Resources,
     pub labels: Vec<Arc<str>>,
     /// What its agent tells of the life before.
     pub before: Option<Before>,
@@ -51,6 +52,10 @@
             number: 0,
             noted: 0,
             leaving: false,
+            capacity: Resources {
+                memory: 100_000,
+                ..resources(64000, 8)
+            },
             labels: vec!["a".into(), rack.into()],
             before: None,
             began: Vec::new(),
@@ -72,10 +77,7 @@
                 hall: "hall".into(),
                 rack: self.rack.into(),
                 labels: self.labels.clone(),
-                capacity: Resources {
-                    memory: 100_000,
-                    ..resources(64000, 8)
-                },
+                capacity: self.capacity,
                 leaving: self.leaving,
                 silent: false,
                 remaining_ms: None,
--- a/tests/it/graph_faults.rs
+++ b/tests/it/graph_faults.rs
@@ -57,6 +57,8 @@
 /// and how many starts are one too many then.
 const CRASHES: u32 = 3;
 const MORE: u32 = 3;
+/// For how long room that has shrunk still counts.
+const COUNTS: Duration = Duration::from_millis(4500);
 /// How many runs of a task may fail.
 const ATTEMPTS: u32 = 2;
 
@@ -97,6 +99,11 @@
     answered: Instant,
     /// What its agent has kept in the store.
     kept: Option<Report>,
+    /// The accelerators that it has, as its agent knows, and all that it has
+    /// had of late, with until when that counts.
+    accelerators: i64,
+    told: i64,
+    had: Vec<(i64, Instant)>,
     /// The task that takes it down, and in how many rounds.
     doom: Option<(Task, u32)>,
 }
@@ -124,6 +131,10 @@
     stores: fastrand::Rng,
     /// Draws which tasks take down their workers, and when: apart as well.
     dooms: fastrand::Rng,
+    /// Draws who has how much room: apart as well.
+    rooms: fastrand::Rng,
+    /// Whether workers refuse what does not fit.
+    guarded: bool,
     /// The jobs whose first task does.
     bad: BTreeSet<Arc<str>>,
     /// How many workers have gone down under a task, and how often it has
@@ -157,11 +168,11 @@
     }
 }
 
-fn room() -> Resources {
+fn room(accelerators: i64) -> Resources {
     Resources {
         cpu: 64_000,
         memory: 100_000,
-        accelerators: 8,
+        accelerators,
     }
 }
 
@@ -193,12 +204,17 @@
             alone: false,
             answered: now.now,
             kept: None,
+            accelerators: 8,
+            told: 8,
+            had: Vec::new(),
             doom: None,
         });
         World {
             random: fastrand::Rng::with_seed(seed),
             stores: fastrand::Rng::with_seed(!seed),
             dooms: fastrand::Rng::with_seed(seed ^ 0xbad),
+            rooms: fastrand::Rng::with_seed(seed ^ 0x4007),
+            guarded: seed % 2 == 0,
             bad: BTreeSet::new(),
             crashed: BTreeMap::new(),
             under: BTreeMap::new(),
@@ -240,7 +256,7 @@
             max_attempts: ATTEMPTS,
             stretch: 3.0,
             target: Duration::from_secs(1),
-            guarded: true,
+            guarded: self.guarded,
             accepted: self.now.wall,
             spec: "spec".into(),
             steps,
@@ -337,6 +353,29 @@
         worker.doom = None;
     }
 
+    /// Changes the room of a worker now and then, and lets agents hear of
+    /// it with a heartbeat.
+    fn resize(&mut self) {
+        let now = self.now.now;
+        let at = self.rooms.usize(..self.workers.len());
+        let to = match self.rooms.u32(..20) {
+            _ if !self.faults => Some(8),
+            0 => Some([0, 2, 4, 8][self.rooms.usize(..4)]),
+            _ => None,
+        };
+        let worker = &mut self.workers[at];
+        if let Some(to) = to.filter(|to| *to != worker.accelerators) {
+            worker.had.push((worker.accelerators, now + COUNTS));
+            worker.accelerators = to;
+        }
+        for worker in &mut self.workers {
+            worker.had.retain(|(_, until)| now < *until);
+            if self.rooms.u32(..4) == 0 {
+                worker.told = worker.accelerators;
+            }
+        }
+    }
+
     /// Takes down the workers whose time has come.
     fn doom(&mut self) {
         for at in 0..self.workers.len() {
@@ -494,7 +533,7 @@
                 hall: "hall".into(),
                 rack: worker.rack.into(),
                 labels: Vec::new(),
-                capacity: room(),
+                capacity: room(worker.told),
                 leaving: worker.leaving,
                 silent: false,
                 remaining_ms: None,
@@ -614,12 +653,24 @@
         });
         let used = used.fold(Resources::default(), |a, b| a.plus(&b));
         let charge = self.job(&start.task.job).steps[start.task.step].charge();
-        let why = match room().minus(&used).holds(&charge) {
+        let fits =
+            |accelerators| room(accelerators).minus(&used).holds(&charge);
+        let held_back = worker.told < 8 && !fits(worker.told);
+        let why = match (fits(worker.accelerators), fits(worker.told)) {
             _ if start.run <= bar => Some(Refusal::Barred),
-            false => Some(Refusal::Room),
-            true => None,
+            // Its agent holds back what it knows not to fit.
+            (_, false) if held_back => Some(Refusal::Room),
+            (false, _) if self.guarded => Some(Refusal::Room),
+            _ => None,
         };
+        let most = worker.had.iter().map(|(had, _)| *had);
+        let most = most.fold(worker.accelerators, i64::max);
+        assert!(why.is_some() || fits(most), "LIMIT: {} is full", start.task);
         if let Some(why) = why {
+            // Its agent sees to it that what is refused never begins there.
+            let barred = &mut self.workers[at].barred;
+            let bar = barred.entry(start.task.clone()).or_default();
+            *bar = (*bar).max(start.run);
             self.workers[at].refused.push(Refused {
                 task: start.task.clone(),
                 run: start.run,
@@ -771,6 +822,7 @@
             self.workers[at].alone = self.stores.u32(..4) == 0;
         }
         self.work();
+        self.resize();
         self.doom();
         self.keep();
         for at in 0..self.workers.len() {
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -28,6 +28,7 @@
 mod replay;
 mod session;
 mod settings;
+mod shrunk;
 mod spare;
 mod stage;
 mod support;
