Take nothing from a heartbeat or record that is none

Cause: heartbeats and records may come from other writers, and late ones of a life that is over. Any state but draining counted as ready, any figures were taken, a heartbeat of another life replaced the worker that was there (what ran began a second time), and a job whose progress cannot be read was taken for one that never began. Another life is believed only once the present one does not answer calls. Nothing begins of a job whose progress cannot be read.

--- a/src/cell/member/mod.rs
+++ b/src/cell/member/mod.rs
@@ -28,6 +28,8 @@
 use crate::graph::Resources;
 use crate::graph::Text;
 use crate::store::Store;
+use crate::telemetry::metrics;
+use crate::telemetry::metrics::label;
 
 /// How long after a worker has said that it is leaving it is surely gone.
 const LEAVES: Duration = Duration::from_millis(800);
@@ -133,6 +135,13 @@
                     "life" => &*life, "leaving" => leaving);
                 self.0.news.notify_one();
             }
+            state::News::Strange => {
+                metrics::get().strange.add(1, &[label("what", "life")]);
+                slog::warn!(self.0.config.log,
+                    "agent: another life answers here"; "life" => &*life);
+                // Whether it still does is asked at once.
+                self.0.look.notify_one();
+            }
             state::News::None => {}
         }
     }
--- a/src/cell/member/state.rs
+++ b/src/cell/member/state.rs
@@ -32,6 +32,9 @@
 const LEASE_SLACK: Duration = Duration::from_millis(400);
 /// For how long a worker must not answer before its life is taken for over.
 const SILENT: Duration = Duration::from_millis(1500);
+/// For how long a look's answer shows which life is here: until the next
+/// has had its answer, or none.
+const CONFIRMED: Duration = Duration::from_millis(1700);
 /// How many looks in a row must have no answer before a worker counts as
 /// deaf: one may be lost with its connection.
 const DEAF: u32 = 2;
@@ -102,6 +105,8 @@
     Life,
     /// Another state or room.
     Terms,
+    /// A life that cannot be the worker's: another one answers there.
+    Strange,
     /// Nothing.
     None,
 }
@@ -157,6 +162,7 @@
     ) -> News {
         let known = match &mut self.worker {
             Some(known) if known.beat.life == beat.life => known,
+            Some(known) if known.is_confirmed(now) => return News::Strange,
             _ => {
                 let before = self.worker.as_ref().map(Known::before);
                 let before = before.map(|before| (before, now + TOLD));
@@ -391,6 +397,14 @@
         self.unanswered >= DEAF
     }
 
+    /// Returns whether this life answers calls: another one that is named
+    /// meanwhile is gone already, and its heartbeat late, or it is none.
+    fn is_confirmed(&self, now: Instant) -> bool {
+        let looked = self.clock.filter(|_| self.lists.is_some());
+        let lately = looked.is_some_and(|(_, at)| now < at + CONFIRMED);
+        lately && self.unanswered == 0 && self.over.is_none()
+    }
+
     /// Returns whether the worker has not answered for long.
     pub fn is_silent(&self, now: Instant) -> bool {
         now > self.answered + SILENT
--- a/src/cell/planner/mod.rs
+++ b/src/cell/planner/mod.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use ractor::Actor;
@@ -118,6 +119,9 @@
     known: Known,
     /// Progress of jobs whose acceptance was not listed yet.
     kept: HashMap<String, Progress>,
+    /// Jobs whose progress cannot be read: what they have done is not known,
+    /// so that nothing of them may begin.
+    unread: HashSet<String>,
     writing: bool,
     removing: bool,
     deciding: bool,
@@ -205,6 +209,7 @@
             book: Book::new(start.terms, Moment::present()),
             known: Known::default(),
             kept: HashMap::new(),
+            unread: HashSet::new(),
             writing: false,
             removing: false,
             deciding: false,
@@ -235,9 +240,12 @@
                 self.known.begun.insert(id.into());
                 self.kept.insert(id.to_owned(), progress);
             }
-            Err(error) => slog::error!(self.log,
-                "planner: progress cannot be read"; "key" => &item.key,
-                "error" => %error),
+            Err(error) => {
+                slog::error!(self.log,
+                    "planner: progress cannot be read"; "key" => &item.key,
+                    "error" => %error);
+                self.unread.insert(id.to_owned());
+            }
         }
     }
 
@@ -254,6 +262,7 @@
                 continue;
             };
             match keys::intake(&item.key) {
+                Some(Intake::Job(id)) if self.unread.contains(id) => {}
                 Some(Intake::Job(id)) if !self.book.knows(id) => {
                     self.accept(id, &item.value, now);
                 }
--- a/src/graph/mod.rs
+++ b/src/graph/mod.rs
@@ -57,6 +57,7 @@
 pub use job::Step;
 pub use job::Task;
 pub use job::Text;
+pub use job::MAX_RESOURCE;
 pub use orders::Orders;
 pub use orders::Start;
 pub use orders::Stop;
--- a/src/log.rs
+++ b/src/log.rs
@@ -2,7 +2,12 @@
 //!
 //! The prefixes are `entry:`, `planner:` and `agent:`.
 
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
 
 use slog::o;
 use slog::Drain;
@@ -57,3 +62,35 @@
 pub fn none() -> Logger {
     Logger::root(slog::Discard, o!())
 }
+
+/// How often a line is written that others can bring about at will.
+const SPARINGLY: Duration = Duration::from_secs(1);
+
+/// Says when a line that may repeat without end is due: once a second.
+#[derive(Debug, Default)]
+pub struct Sparingly {
+    next: Mutex<Option<Instant>>,
+    left_out: AtomicU64,
+}
+
+impl Sparingly {
+    /// Returns whether the line may be written now, else counts it.
+    pub fn is_due(&self) -> bool {
+        let now = Instant::now();
+        let mut next =
+            self.next.lock().unwrap_or_else(PoisonError::into_inner);
+        let due = next.is_none_or(|next| now >= next);
+        match due {
+            true => *next = Some(now + SPARINGLY),
+            false => {
+                self.left_out.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        due
+    }
+
+    /// Returns how many lines were left out since this was last asked.
+    pub fn left_out(&self) -> u64 {
+        self.left_out.swap(0, Ordering::Relaxed)
+    }
+}
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -80,6 +80,10 @@
         "landingvalve_limited",
         "What was turned away at a limit of this process, by limit.",
     ),
+    about(
+        "landingvalve_strange",
+        "What came from outside and could not be used, by kind.",
+    ),
     about("landingvalve_claims", "Claims, by what became of them."),
     about(
         "landingvalve_ready",
@@ -163,6 +167,8 @@
     pub looks: Counter<u64>,
     /// What was turned away at a limit of this process.
     pub limited: Counter<u64>,
+    /// What came from outside and could not be used, by kind.
+    pub strange: Counter<u64>,
     /// Claims.
     pub claims: Counter<u64>,
     /// Whether new callers are taken.
@@ -219,6 +225,7 @@
             order: histogram("landingvalve_order_seconds"),
             looks: counter("landingvalve_looks"),
             limited: counter("landingvalve_limited"),
+            strange: counter("landingvalve_strange"),
             claims: counter("landingvalve_claims"),
             ready: gauge("landingvalve_ready"),
             age: histogram("landingvalve_configuration_age_seconds"),
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -700,6 +700,17 @@
     })
 }
 
+/// Returns an agent that is told of its worker by the test.
+fn member(name: &str, store: &Memory, worker: &Fake) -> Member<Fake, Memory> {
+    let config = Config {
+        agent: name.into(),
+        survival: Terms::default().survival,
+        lease: Duration::from_secs(6),
+        log: log::none(),
+    };
+    Member::new(config, worker.clone(), store.clone())
+}
+
 fn heartbeat(worker: &Fake, sequence: u64) -> Heartbeat {
     Heartbeat {
         life: worker.life(),
@@ -1008,3 +1019,57 @@
     }
     entry.kill();
 }
+
+#[tokio::test]
+async fn a_heartbeat_of_a_life_that_does_not_answer_here_changes_nothing() {
+    let store = Memory::default();
+    let worker = Fake::new();
+    let admission = Admission::new(store.clone(), log::none());
+    let entry = Entry::start("entry", &store).await;
+    let member = member("agent", &store, &worker);
+    let running = tokio::spawn({
+        let member = member.clone();
+        async move { member.run().await }
+    });
+    member.heartbeat(heartbeat(&worker, 1));
+    admission.submit(&job("a"), soon()).await;
+    runs(&worker, 2).await;
+    // One of an earlier life was late, and one is from nobody.
+    for (life, sequence) in [("life-0", 900), ("nobody", 1), ("life-0", 901)] {
+        let beat = heartbeat(&worker, sequence);
+        let life = life.into();
+        member.heartbeat(Heartbeat { life, ..beat });
+    }
+    let looked = worker.looks();
+    let later = || async { (worker.looks() >= looked + 20).then_some(()) };
+    until("several looks", later).await;
+    worker.end_all(How::Done);
+    reaches(&admission, "a", DONE).await;
+    let mut began = worker.began();
+    began.sort();
+    assert_eq!(began, ["a.0.0.0 1", "a.0.0.1 1"]);
+    running.abort();
+    entry.kill();
+}
+
+#[tokio::test]
+async fn a_job_whose_progress_cannot_be_read_is_not_begun_again() {
+    let store = Memory::default();
+    let worker = Fake::new();
+    let admission = Admission::new(store.clone(), log::none());
+    admission.submit(&job("a"), soon()).await;
+    admission.submit(&job("b"), soon()).await;
+    let garbage = b"{\"units\": 7}".to_vec();
+    let put = Put::Value(keys::progress("a"), garbage, 0);
+    store.swap(&[], vec![put]).await.expect("is written");
+    let entry = Entry::start("entry", &store).await;
+    let agent = agent(&store, &worker);
+    runs(&worker, 2).await;
+    worker.end_all(How::Done);
+    reaches(&admission, "b", DONE).await;
+    let mut began = worker.began();
+    began.sort();
+    assert_eq!(began, ["b.0.0.0 1", "b.0.0.1 1"]);
+    agent.abort();
+    entry.kill();
+}
