--- a/crates/landingvalve-soak/src/worker.rs
+++ b/crates/landingvalve-soak/src/worker.rs
@@ -197,7 +197,8 @@
     fn account(&mut self) -> Value {
         self.sequence += 1;
         json!({
-            "service": "pool", "zone": "hall", "state": "ready",
+            "service": "pool", "address": "127.0.0.1:1", "zone": "hall",
+            "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
             "capacity": {"cpu": 64000, "memMb": 100_000,
                          "gpu": ACCELERATORS},
             "labels": ["a", "r1"], "currentTimeMs": self.time(),
