Send nothing new to halls that operators close

Change: entries watch all that operators write instead of the configuration's key alone, which is the same call, and know which halls are closed; planners place and keep nothing there and take back what has not begun. What runs goes on. The stand-in of the store's link, which held up reads of that one key, holds up reads of all that operators write.

--- a/src/cell/configuration.rs
+++ b/src/cell/configuration.rs
@@ -1,6 +1,7 @@
 //! The operators' configuration, and how old our knowledge of it is.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -13,10 +14,12 @@
 
 use crate::cell::pause;
 use crate::cell::reach::Reach;
+use crate::cell::watch::News;
 use crate::cell::watch::Watch;
 use crate::clock::Stamp;
 use crate::graph::Advice;
 use crate::graph::Text;
+use crate::store::Change;
 use crate::store::Error;
 use crate::store::Item;
 use crate::store::Revision;
@@ -83,10 +86,24 @@
     }
 }
 
+/// Where operators write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Keys {
+    /// What all of their keys begin with: they are watched together, which
+    /// costs no more calls than one of them.
+    pub prefix: &'static str,
+    /// The configuration.
+    pub configuration: &'static str,
+    /// Before the name of each hall that is to be given no new work.
+    pub closed: &'static str,
+}
+
 /// What is known of the configuration.
 #[derive(Debug, Default)]
 struct Known {
     current: Option<Arc<Configuration>>,
+    /// The halls that are to be given no new work.
+    closed: BTreeSet<Text>,
     revision: Revision,
     /// The last revision that was seen, whether it could be read or not.
     seen: Revision,
@@ -115,6 +132,11 @@
         self.lock().current.clone()
     }
 
+    /// Returns the halls that are to be given no new work.
+    pub fn closed(&self) -> BTreeSet<Text> {
+        self.lock().closed.clone()
+    }
+
     /// Returns the configuration if it was current at most `age` ago.
     pub fn fresh(&self, age: Duration) -> Option<Arc<Configuration>> {
         let known = self.lock();
@@ -167,15 +189,16 @@
     pub async fn follow<E: std::fmt::Display>(
         self,
         store: impl Store,
-        key: &str,
+        keys: Keys,
         decode: impl Fn(&[u8]) -> Result<Configuration, E>,
         reach: Reach,
         log: slog::Logger,
     ) {
         let mut reached = true;
-        let mut watch = Watch::new(key);
+        let mut watch = Watch::new(keys.prefix);
         loop {
-            let asked = self.ask(&store, &mut watch, &decode, &log).await;
+            let asked = self.ask(&store, &mut watch, &keys, &decode, &log);
+            let asked = asked.await;
             let failed = asked.err().map(|error| error.to_string());
             match (&failed, reached) {
                 (Some(error), true) => slog::warn!(log,
@@ -202,12 +225,13 @@
         &self,
         store: &impl Store,
         watch: &mut Watch<'_>,
+        keys: &Keys,
         decode: &impl Fn(&[u8]) -> Result<Configuration, E>,
         log: &slog::Logger,
     ) -> Result<(), Error> {
         let sent = Stamp::now();
-        let items = match watch.next(store).await {
-            Ok(items) => items,
+        let news = match watch.next(store).await {
+            Ok(news) => news,
             Err(Error::Forgotten(revision)) => {
                 slog::info!(log, "configuration: all is read anew";
                     "after" => revision);
@@ -216,13 +240,44 @@
             }
             Err(error) => return Err(error),
         };
-        for item in items {
-            self.take(item, sent, decode, log);
+        self.close(&news, keys, log);
+        for change in news.changes {
+            match change {
+                Change::Put(item) if item.key == keys.configuration => {
+                    self.take(item, sent, decode, log);
+                }
+                _ => {}
+            }
         }
         self.confirm(sent);
         Ok(())
     }
 
+    /// Takes in which halls are closed, and which are open again.
+    fn close(&self, news: &News, keys: &Keys, log: &slog::Logger) {
+        let mut known = self.lock();
+        let mut closed = match news.whole {
+            true => BTreeSet::new(),
+            false => known.closed.clone(),
+        };
+        for change in &news.changes {
+            let (key, puts) = match change {
+                Change::Put(item) => (&item.key, true),
+                Change::Deleted(key, _) => (key, false),
+            };
+            match key.strip_prefix(keys.closed) {
+                Some(hall) if puts => closed.insert(hall.into()),
+                Some(hall) => closed.remove(hall),
+                None => false,
+            };
+        }
+        if closed != known.closed {
+            slog::info!(log, "configuration: other halls are closed";
+                "halls" => ?closed, "before" => ?known.closed);
+            known.closed = closed;
+        }
+    }
+
     fn take<E: std::fmt::Display>(
         &self,
         item: Item,
--- a/src/cell/planner/mod.rs
+++ b/src/cell/planner/mod.rs
@@ -398,6 +398,7 @@
                 self.book.set_guarantees(self.guarantees.clone());
             }
         }
+        self.book.set_closed(self.source.closed());
         self.book.step(Moment::present());
         let token = self.claim.token;
         for decision in self.book.take_decisions() {
--- a/src/cell/watch.rs
+++ b/src/cell/watch.rs
@@ -1,4 +1,4 @@
-//! Watching one key of the store.
+//! Watching a few keys of the store.
 
 use std::time::Duration;
 
@@ -8,69 +8,80 @@
 use crate::store::Change;
 use crate::store::Changes;
 use crate::store::Error;
-use crate::store::Item;
 use crate::store::Listing;
 use crate::store::Store;
 
-/// How long one call waits for a change: how often the key is shown to be
-/// as it was while nothing changes.
+/// How long one call waits for a change: how often the keys are shown to be
+/// as they were while nothing changes.
 const EVERY: Duration = Duration::from_millis(500);
 /// How much longer than it waits a call takes if it is late: the slowest of
 /// the store's answers seen.
 const LATE: Duration = Duration::from_millis(250);
 
-/// A watch of one key: it is read once, and then told of when it changes, so
-/// that a value that stays is not sent again and again.
+/// A watch of the keys that begin alike: they are read once, and then told of
+/// when they change, so that a value that stays is not sent again and again.
 #[derive(Debug)]
 pub(super) struct Watch<'a> {
-    key: &'a str,
+    prefix: &'a str,
     /// Where to go on; `None` where all is to be read.
     cursor: Option<Cursor>,
     /// How long the next call waits.
     wait: Duration,
 }
 
+/// What a call has shown.
+#[derive(Debug)]
+pub(super) struct News {
+    /// Whether it is all that there is, and not just what has changed.
+    pub whole: bool,
+    /// What is there, or has changed, in order.
+    pub changes: Vec<Change>,
+}
+
 impl<'a> Watch<'a> {
     /// Returns a watch that knows nothing yet.
-    pub fn new(key: &'a str) -> Watch<'a> {
+    pub fn new(prefix: &'a str) -> Watch<'a> {
         Watch {
-            key,
+            prefix,
             cursor: None,
             wait: Duration::ZERO,
         }
     }
 
-    /// Makes one call; returns what was written since the last, in order.
+    /// Makes one call; returns what has changed since the last.
     ///
     /// # Errors
     ///
     /// If the store does not answer, or has dropped the history that was
     /// asked for: the next call then does not wait, or reads all.
-    pub async fn next(
-        &mut self,
-        store: &impl Store,
-    ) -> Result<Vec<Item>, Error> {
+    pub async fn next(&mut self, store: &impl Store) -> Result<News, Error> {
         let wait = std::mem::take(&mut self.wait);
-        let items = match self.cursor.as_ref().map(Cursor::after) {
+        match self.cursor.as_ref().map(Cursor::after) {
             Some(after) => {
                 let sent = Instant::now();
-                let changes = store.changes(self.key, after, wait).await;
+                let changes = store.changes(self.prefix, after, wait).await;
                 if let Err(Error::Forgotten(_)) = changes {
                     self.cursor = None;
                 }
-                self.told(changes?, sent)
+                let changes = self.told(changes?, sent);
+                Ok(News {
+                    whole: false,
+                    changes,
+                })
             }
             None => {
-                let Listing { revision, items } = store.list(self.key).await?;
+                let listing = store.list(self.prefix).await?;
+                let Listing { revision, items } = listing;
                 self.cursor = Some(Cursor::new(revision));
-                items
+                Ok(News {
+                    whole: true,
+                    changes: items.into_iter().map(Change::Put).collect(),
+                })
             }
-        };
-        let own = items.into_iter().filter(|item| item.key == self.key);
-        Ok(own.collect())
+        }
     }
 
-    fn told(&mut self, changes: Changes, sent: Instant) -> Vec<Item> {
+    fn told(&mut self, changes: Changes, sent: Instant) -> Vec<Change> {
         let Changes { revision, changes } = changes;
         if let Some(cursor) = &mut self.cursor {
             match changes.is_empty() {
@@ -84,10 +95,6 @@
         if changes.is_empty() && !late {
             self.wait = EVERY;
         }
-        let put = |change| match change {
-            Change::Put(item) => Some(item),
-            Change::Deleted(..) => None,
-        };
-        changes.into_iter().filter_map(put).collect()
+        changes
     }
 }
--- a/src/graph/book.rs
+++ b/src/graph/book.rs
@@ -79,6 +79,7 @@
 pub(super) struct Worker {
     pub life: Life,
     pub pool: Text,
+    pub hall: Text,
     pub rack: Text,
     pub labels: Vec<Text>,
     pub capacity: Resources,
@@ -147,9 +148,10 @@
     pub(super) leave: BTreeMap<StepKey, Leave>,
     /// What is asked about agents that are silent.
     pub(super) inquiries: BTreeMap<AgentId, Inquiry>,
-    /// Workers on which more is placed than they have had room for since
-    /// they shrank, until that is looked at.
-    pub(super) crowded: BTreeSet<AgentId>,
+    /// Halls that are to be given no new work.
+    pub(super) closed: BTreeSet<Text>,
+    /// Workers from which what has not begun is to be taken back, and why.
+    pub(super) withdrawn: BTreeMap<AgentId, Why>,
     pub(super) dirty: BTreeSet<Id>,
     pub(super) stirred: BTreeSet<AgentId>,
     /// Whether anything came in since the last pass that may change what it
@@ -177,7 +179,8 @@
             urgent: BTreeMap::new(),
             leave: BTreeMap::new(),
             inquiries: BTreeMap::new(),
-            crowded: BTreeSet::new(),
+            closed: BTreeSet::new(),
+            withdrawn: BTreeMap::new(),
             dirty: BTreeSet::new(),
             stirred: BTreeSet::new(),
             changed: true,
@@ -191,6 +194,20 @@
         self.changed = true;
     }
 
+    /// Sets the halls that are to be given no new work. What runs there goes
+    /// on; what was ordered and has not begun is taken back.
+    pub fn set_closed(&mut self, closed: BTreeSet<Text>) {
+        if closed == self.closed {
+            return;
+        }
+        self.closed = closed;
+        self.changed = true;
+        let agents = self.workers.iter();
+        let inside = agents.filter(|(_, w)| self.closed.contains(&w.hall));
+        let inside = inside.map(|(agent, _)| (agent.clone(), Why::Closed));
+        self.withdrawn.extend(inside);
+    }
+
     /// Returns whether anything came in since the last pass that may change
     /// what it decides, beside the time. Most reports list nothing new: at
     /// 240 workers without one, a planner decides 10 times a second and not
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -203,11 +203,14 @@
                 life,
             });
             let worker = fresh(said, used, now.now);
-            // It may have shrunk since an earlier planner gave something
-            // out there.
-            if !worker.capacity.holds(&worker.used) {
-                self.crowded.insert(agent.clone());
-            }
+            // It may have shrunk, or its hall been closed, since an earlier
+            // planner gave something out there.
+            let full = !worker.capacity.holds(&worker.used);
+            let why = match self.closed.contains(&worker.hall) {
+                true => Some(Why::Closed),
+                false => full.then_some(Why::Shrunk),
+            };
+            self.withdrawn.extend(why.map(|why| (agent.clone(), why)));
             self.workers.insert(agent.clone(), worker);
         }
         if let Some(worker) = self.workers.get_mut(agent) {
@@ -376,6 +379,7 @@
     Worker {
         life: said.life.clone(),
         pool: said.pool.clone(),
+        hall: said.hall.clone(),
         rack: said.rack.clone(),
         labels: said.labels.clone(),
         capacity: said.capacity,
--- a/src/graph/place.rs
+++ b/src/graph/place.rs
@@ -193,7 +193,9 @@
         let mut slots: BTreeMap<&Text, u32> = BTreeMap::new();
         for worker in self.workers.values() {
             let here = slots.entry(&worker.rack).or_default();
-            if worker.pool == request.pool && !worker.leaving && !worker.gone {
+            let stays = !worker.leaving && !worker.gone;
+            let open = !self.closed.contains(&worker.hall);
+            if worker.pool == request.pool && stays && open {
                 *here = here.saturating_add(request.slots(worker));
             }
         }
@@ -260,6 +262,7 @@
         let label = request.label.as_ref();
         worker.pool == request.pool
             && !worker.leaving
+            && !self.closed.contains(&worker.hall)
             && !worker.silent
             && !worker.gone
             && !worker.health.apart(now.now)
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::graph::book::Worker;
 use crate::graph::entry::Entry;
 use crate::graph::place::Request;
 use crate::graph::unit::Cause;
@@ -289,7 +290,9 @@
 
     /// Returns whether less than half of a pool's accelerators are in use.
     pub(super) fn mostly_idle(&self, pool: &Text) -> bool {
-        let workers = || self.workers.values().filter(|w| w.pool == *pool);
+        let open = |w: &&Worker| !self.closed.contains(&w.hall);
+        let of_pool = |w: &&Worker| w.pool == *pool;
+        let workers = || self.workers.values().filter(of_pool).filter(open);
         let whole: i64 = workers().map(|w| w.capacity.accelerators).sum();
         let empty: i64 = workers().map(|w| w.empty().accelerators).sum();
         empty * 2 > whole
--- a/src/graph/shrink.rs
+++ b/src/graph/shrink.rs
@@ -35,17 +35,17 @@
         // What is kept for units that have not begun is looked at by itself.
         let taken = worker.used.minus(&worker.kept);
         if !to.holds(&taken) {
-            self.crowded.insert(agent.clone());
+            self.withdrawn.insert(agent.clone(), Why::Shrunk);
         }
         self.note(resized);
     }
 
-    /// Takes back what was ordered where the room has shrunk, as far as it
-    /// has not begun.
+    /// Takes back what was ordered on workers that must begin nothing more,
+    /// as far as it has not begun.
     pub(super) fn take_back(&mut self, now: Moment) {
-        for agent in std::mem::take(&mut self.crowded) {
+        for (agent, why) in std::mem::take(&mut self.withdrawn) {
             for (id, key) in self.ordered_on(&agent) {
-                self.stop_unit(&id, &key, Why::Shrunk, now);
+                self.stop_unit(&id, &key, why, now);
             }
         }
     }
--- a/src/graph/unit.rs
+++ b/src/graph/unit.rs
@@ -66,6 +66,8 @@
     Leaving,
     /// It had not begun when its worker's room shrank.
     Shrunk,
+    /// It had not begun when its hall was closed.
+    Closed,
 }
 
 impl Why {
@@ -78,6 +80,7 @@
             Why::Stuck => "stuck",
             Why::Leaving => "worker leaving",
             Why::Shrunk => "worker has shrunk",
+            Why::Closed => "hall closed",
         }
     }
 }
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -11,6 +11,7 @@
 use std::time::SystemTime;
 
 use landingvalve::cell::claim::Holder;
+use landingvalve::cell::configuration::Keys;
 use landingvalve::cell::configuration::Source;
 use landingvalve::cell::keys;
 use landingvalve::cell::member::Config;
@@ -650,6 +651,13 @@
 }
 
 /// How often a worker sends a heartbeat.
+/// Where operators write here.
+pub const KEYS: Keys = Keys {
+    prefix: "key",
+    configuration: "key",
+    closed: "key/closed/",
+};
+
 const BEAT: Duration = Duration::from_millis(300);
 
 pub fn agent(store: &Memory, worker: &Fake) -> JoinHandle<()> {
--- a/tests/it/graph.rs
+++ b/tests/it/graph.rs
@@ -32,6 +32,7 @@
     pub number: u64,
     pub noted: u64,
     pub leaving: bool,
+    pub hall: Arc<str>,
     pub capacity: Resources,
     pub labels: Vec<Arc<str>>,
     /// What its agent tells of the life before.
@@ -52,6 +53,7 @@
             number: 0,
             noted: 0,
             leaving: false,
+            hall: "hall".into(),
             capacity: Resources {
                 memory: 100_000,
                 ..resources(64000, 8)
@@ -74,7 +76,7 @@
                 life: format!("{}-{}", self.agent, self.life).into(),
                 pool: "pool".into(),
                 machine: None,
-                hall: "hall".into(),
+                hall: self.hall.clone(),
                 rack: self.rack.into(),
                 labels: self.labels.clone(),
                 capacity: self.capacity,
--- a/tests/it/in_touch.rs
+++ b/tests/it/in_touch.rs
@@ -10,6 +10,7 @@
 use landingvalve::store::Store;
 
 use crate::cell::Memory;
+use crate::cell::KEYS;
 
 #[tokio::test(start_paused = true)]
 async fn callers_are_taken_only_while_the_store_is_in_reach() {
@@ -21,7 +22,7 @@
     let decode = |_: &[u8]| Ok::<_, String>(Configuration::default());
     let follow = source.clone().follow(
         store.clone(),
-        "key",
+        KEYS,
         decode,
         Reach::new(),
         log::none(),
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod again;
 mod broken;
 mod cell;
+mod closed;
 mod crashes;
 mod doubt;
 mod examples;
--- a/tests/it/suspended.rs
+++ b/tests/it/suspended.rs
@@ -26,6 +26,7 @@
 use crate::cell::Fake;
 use crate::cell::Memory;
 use crate::cell::DONE;
+use crate::cell::KEYS;
 use crate::support::until;
 
 /// For how long machines are suspended here, in ms.
@@ -97,7 +98,7 @@
     let decode = |_: &[u8]| Ok::<_, String>(Configuration::default());
     let follow = source.clone().follow(
         store.clone(),
-        "key",
+        KEYS,
         decode,
         Reach::new(),
         log::none(),
