--- a/tools/days.py
+++ b/tools/days.py
@@ -100,6 +100,36 @@
     "grey-while-lost": ("srv-grey-errors", "platform-lost"),
     "freeze-while-down": ("node-freeze", "platform-down"),
 }
+# Kinds that some sites alone know; @z0, @s0 and @c0 stand for a site's first
+# zone, service and kind of request. They come last, so that the days before
+# them keep their seeds.
+MORE_FAULTS = {
+    "srv-crash": 'kind = "srv_crash", service = "@s0", share = 0.2, for_s = 3.0',
+    "srv-crash-rack": 'kind = "srv_crash", share = 0.2, for_s = 3.0, how = "rack"',
+    "srv-crash-gone": 'kind = "srv_crash", share = 0.15, for_s = 4.5, how = "dark gone"',
+    "srv-flap": 'kind = "srv_flap", share = 0.2, gap_s = 1.5, for_s = 8.0',
+    "srv-lying": 'kind = "srv_lying_health", share = 0.2, how = "errors", for_s = 6.0',
+    "shift": 'kind = "shift", zone = "@z0", to_zone = "@z1", share = 0.6, for_s = 6.0',
+    "link-squeeze": 'kind = "link_squeeze", share = 0.2, x = 10.0, for_s = 6.0',
+    "burst-class": 'kind = "burst", class = "@c0", x = 4.0, for_s = 5.0',
+    "burst-zone": 'kind = "burst", zone = "@z0", x = 3.0, for_s = 5.0',
+    "poison-class": 'kind = "poison", class = "@c0", share = 0.5, for_s = 5.0',
+    "poison-long": 'kind = "poison", class = "@c0", share = 0.3, x = 4.0, how = "long", for_s = 5.0',
+    "srv-slow-service": 'kind = "srv_slow", service = "@s0", share = 0.3, x = 5.0, for_s = 6.0',
+    "herd-kill-joined": 'kind = "herd_kill", on = "side", share = 0.4, how = "power", for_s = 3.0',
+}
+MORE_PLANS = {
+    "evacuate": 'kind = "evacuate", zone = "@z0", for_s = 8.0',
+    "evacuate-warm": 'kind = "evacuate", zone = "@z1", for_s = 8.0, how = "warm"',
+}
+MORE_PAIRS = {
+    "crash-while-killed": ("srv-crash", "node-kill"),
+    "flap-while-poisoned": ("srv-flap", "poison-class"),
+    "evacuate-while-killed": ("evacuate", "node-kill"),
+    "evacuate-while-lost": ("evacuate", "platform-lost-late"),
+    "freeze-while-burst": ("node-freeze", "burst-class"),
+    "late-while-leaving": ("applied-late", "scale-in-spot"),
+}
 CLOSING = {
     "closing-power": '{ kind = "power_off_all", down_s = 1.0, how = "taken" }',
     "closing-timed": '{ kind = "power_off_all", down_s = 1.5, how = "timed" }',
@@ -107,12 +137,12 @@
 }
 
 def entry(name, at):
-    text = FAULTS.get(name) or PLANS[name]
+    text = {**FAULTS, **MORE_FAULTS, **PLANS, **MORE_PLANS}[name]
     return f"  {{ at = {at}, {text} }},"
 
 def day(name, seed, troubles, closing=None):
-    plan = [entry(n, at) for n, at in troubles if n in PLANS]
-    faults = [entry(n, at) for n, at in troubles if n in FAULTS]
+    plan = [entry(n, at) for n, at in troubles if n in PLANS or n in MORE_PLANS]
+    faults = [entry(n, at) for n, at in troubles if n in FAULTS or n in MORE_FAULTS]
     lines = [f'name = "{name}"', 'slot = "trouble"', f"seed = {seed}"]
     if closing: lines.append(f"closing = {closing}")
     lines += ["plan = [", *plan, "]", "faults = [", *faults, "]"]
@@ -128,6 +158,10 @@
         days[name] = day(name, 2000 + number, [(pair[0], 6.0), (pair[1], 6.3), (pair[1], 19.0), (pair[0], 19.5)])
     for number, (name, closing) in enumerate(CLOSING.items()):
         days[name] = day(name, 3000 + number, [("burst", 25.0)], closing)
+    for number, name in enumerate([*MORE_FAULTS, *MORE_PLANS]):
+        days[name] = day(name, 4000 + number, [(name, 6.0), (name, 20.0)])
+    for number, (name, pair) in enumerate(MORE_PAIRS.items()):
+        days[name] = day(name, 5000 + number, [(pair[0], 6.0), (pair[1], 6.3), (pair[1], 19.0), (pair[0], 19.5)])
     for name, text in days.items():
         with open(os.path.join(here, name + ".toml"), "w") as file: file.write(text)
     print(f"{len(days)} days")
