--- a/src/graph/crash.rs
+++ b/src/graph/crash.rs
@@ -4,8 +4,8 @@
 //! it went because of a task that it ran, nobody lists. What can be told is
 //! under which tasks it went, and for how long it had carried them. A task
 //! that takes down each worker soon after its start is told from one that
-//! was there by chance by trying it again: elsewhere, alone, and one of its
-//! job at a time.
+//! was there by chance by trying it again: elsewhere, and then alone, one of
+//! its job at a time.
 
 use std::time::Duration;
 
@@ -32,6 +32,10 @@
 const TRIAL: Duration = Duration::from_millis(1500);
 /// How long a suspect waits for a worker that runs nothing.
 const ALONE: Duration = Duration::from_secs(2);
+/// How many workers must suddenly be lost under a task for it to be tried
+/// alone. One may be chance: where a fifth of the workers crash at once,
+/// whatever had just begun there would wait for workers of its own.
+const SUSPECT: u32 = 2;
 /// How many workers in a row may be lost under a task that was not proven on
 /// them. Callers' rules allow two; the third, alone on a worker of its own,
 /// tells a bad task from one that met two bad workers.
@@ -66,13 +70,16 @@
 }
 
 impl Entry {
-    /// Returns whether a worker was suddenly lost under a task of a unit.
+    /// Returns whether workers were suddenly lost under a task of a unit, more
+    /// than by chance.
     pub(super) fn is_suspect(&self, key: &UnitKey) -> bool {
         if !self.blamed {
             return false;
         }
         let kept = self.progress.units.get(key);
-        kept.is_some_and(|kept| kept.lost.values().any(|l| l.sudden > 0))
+        kept.is_some_and(|kept| {
+            kept.lost.values().any(|loss| loss.sudden >= SUSPECT)
+        })
     }
 
     /// Returns whether a unit has taken down so many workers that it must
