--- a/src/graph/job.rs
+++ b/src/graph/job.rs
@@ -229,7 +229,7 @@
 pub const MAX_TASKS: u64 = 10_000;
 
 /// The most of a resource that a task may ask for: far beyond any worker,
-/// and [`MAX_TASKS`] times as much is still a number.
+/// and as many times as a job may have tasks is still a number.
 pub const MAX_RESOURCE: i64 = 1_000_000_000_000;
 /// The most times that a job runs, a bound of the planner's time.
 pub const MAX_TIMES: u32 = 10_000;
