--- a/tests/it/crashes.rs
+++ b/tests/it/crashes.rs
@@ -3,7 +3,7 @@
 //! away. A lost worker was counted against nobody, since only an end that a
 //! worker lists as failed is. The planner's lines of one task told it: `a run
 //! has ended ... how="worker gone" ran_ms=3220`, and in the same pass `a unit
-//! is placed ... run=2 waited_ms=0`, up to run 8 under one fencing token.
+//! is placed ... run=2 waited_ms=0`, up to run 8 by one planner.
 
 use std::time::Duration;
 
