A test that fails: an acknowledgement in place of a look without answer

On this code the agent asks a worker that says nothing to forget end 2; the aim is that it asks for nothing.

--- a/tests/it/births.rs
+++ b/tests/it/births.rs
@@ -311,6 +311,30 @@
     entry.kill();
 }
 
+/// A look had no answer yet when the planner's note came, and was broken off
+/// for one that acknowledged it. The worker had started anew within 40 ms and
+/// forgot two ends of its own unread: `w0 0 is up`, `job30.0.0.0 is noted as
+/// done`, `job30.0.0.0 run 2 begins when done`.
+#[tokio::test]
+async fn nothing_is_acknowledged_in_place_of_a_look_without_answer() {
+    let store = Memory::default();
+    let worker = Fake::born();
+    let admission = Admission::new(store.clone(), log::none());
+    let entry = Entry::start("entry", &store).await;
+    let agent = agent(&store, &worker);
+    admission.submit(&job("a"), soon()).await;
+    runs(&worker, 2).await;
+    worker.mute_once_shown();
+    // The note comes later than a moment after the end is shown.
+    store.lose(1);
+    worker.end_all(How::Done);
+    reaches(&admission, "a", DONE).await;
+    passes(Duration::from_millis(500)).await;
+    assert_eq!(worker.asked_to_forget(), 0);
+    agent.abort();
+    entry.kill();
+}
+
 /// A worker was lost under a task that its agent knew only from the worker's
 /// own list, having started again itself. It told that nothing had begun
 /// there, so the loss was counted against nobody, and the task had one start
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -306,6 +306,10 @@
     /// Whether it breaks off every look, and nothing else.
     hides: bool,
     /// Whether it breaks off every look after one that has shown an end.
+    /// Answers nothing more once it has shown an end.
+    mutes_once_shown: bool,
+    /// The highest end that it was asked to forget while mute.
+    asked: u64,
     shows_once: bool,
     /// Whether it breaks off every stop.
     keeps_on: bool,
@@ -396,6 +400,17 @@
         self.lock().shows_once = true;
     }
 
+    /// Answers nothing more once it will have shown an end.
+    pub fn mute_once_shown(&self) {
+        self.lock().mutes_once_shown = true;
+    }
+
+    /// Returns up to which end it was asked to forget ends since it answers
+    /// nothing.
+    pub fn asked_to_forget(&self) -> u64 {
+        self.lock().asked
+    }
+
     /// Returns how many calls it has broken off.
     pub fn broken_off(&self) -> u32 {
         self.lock().broken_off
@@ -663,7 +678,13 @@
         expires: Option<WorkerTime>,
         wait: Duration,
     ) -> Result<Look, worker::Error> {
-        self.lock().prolonged = expires.is_some();
+        {
+            let mut tasks = self.lock();
+            tasks.prolonged = expires.is_some();
+            if tasks.mute {
+                tasks.asked = tasks.asked.max(noted);
+            }
+        }
         self.speak().await?;
         let deadline = Instant::now() + wait.min(Duration::from_millis(50));
         loop {
@@ -678,6 +699,8 @@
                 if !tasks.ended.is_empty() || Instant::now() >= deadline {
                     tasks.looks += 1;
                     tasks.hides |= tasks.shows_once && !tasks.ended.is_empty();
+                    let shown = !tasks.ended.is_empty();
+                    tasks.mute |= tasks.mutes_once_shown && shown;
                     return Ok(Look {
                         born: tasks.birth(),
                         time: tasks.time(self.started),
