Acknowledge only right after the worker has answered

Cause: whether a worker answers was told by the last look that had come to its end; one that had no answer yet and was broken off said nothing against it. So a worker that was back within 40 ms was asked to forget ends of the birth before, and forgot two of its own unread: begun again though done.

Change: an acknowledgement goes out within 20 ms of an answer of the same birth, else a look without one comes first, and the next follows at once. A start without answer is given again only once a look has been answered since.

It costs one more look beside the worker for each acknowledgement, which carries no price.

What stays is a call that is carried out seconds after its birth is over: no call takes it back.

--- a/src/cell/member/act.rs
+++ b/src/cell/member/act.rs
@@ -119,7 +119,7 @@
         // While looks fail the worker may be down, and be back as another
         // birth that would begin the same run again.
         let expires = target
-            .filter(|_| known.is_known())
+            .filter(|_| known.is_known() && !known.doubted)
             .and_then(|target| known.time_at(target));
         match (known.starts.get(key), expires) {
             (Some(start), Some(expires)) => {
@@ -187,7 +187,11 @@
             }
             Ok(Err(Error::OtherLife | Error::Unreached(_))) => false,
             Ok(Err(Error::Lost(_))) | Err(_) => {
-                self.lock().begun(&call.life, key, start.charge);
+                let mut state = self.lock();
+                state.begun(&call.life, key, start.charge);
+                state.doubt(&call.life);
+                drop(state);
+                self.0.look.notify_one();
                 *unsure = true;
                 false
             }
--- a/src/cell/member/look.rs
+++ b/src/cell/member/look.rs
@@ -80,6 +80,10 @@
         if !unnoted {
             return WAIT;
         }
+        if self.lock().is_noted(plan.noted) {
+            // At once: it is only now known which birth would forget them.
+            return Duration::ZERO;
+        }
         tokio::select! {
             biased;
             () = tokio::time::sleep(UNNOTED) => {}
--- a/src/cell/member/state.rs
+++ b/src/cell/member/state.rs
@@ -36,6 +36,9 @@
 /// For how long a look's answer shows which life is here: until the next
 /// has had its answer, or none.
 const CONFIRMED: Duration = Duration::from_millis(1700);
+/// For how long after a look's answer an acknowledgement may be sent: less
+/// than a process takes to crash and be back under its name.
+const JUST: Duration = Duration::from_millis(20);
 /// How many looks in a row must have no answer before a worker counts as
 /// deaf: one may be lost with its connection.
 const DEAF: u32 = 2;
@@ -96,6 +99,11 @@
     /// Whether it has had more room in this life than it has now.
     pub shrunk: bool,
     pub answered: Instant,
+    /// When the last look was answered by this birth, until another is made.
+    pub shown: Option<Instant>,
+    /// Whether a start has had no answer since the last look that had one:
+    /// the worker may be down, and be back as another birth.
+    pub doubted: bool,
     /// How many looks in a row had no answer, whatever its heartbeats say.
     pub unanswered: u32,
     /// Until when, at most, what runs may go on.
@@ -317,16 +325,18 @@
     pub fn plan(&mut self, lease: Duration, now: Instant) -> Option<Plan> {
         let target = self.target(lease, now);
         let token = self.token;
-        let known = self.worker.as_mut()?;
-        known.looks += 1;
         // Ends are acknowledged only while they are listed: a look that comes
         // late to a later birth must not let that forget its own.
-        let listed = known.lists.iter().flat_map(|lists| &lists.ended);
-        let mut listed = listed.map(|ended| ended.number);
-        // Nor while looks fail: a later birth may be there already.
-        let noted = match listed.any(|number| number <= known.noted) {
-            true if known.is_known() => known.noted,
-            _ => 0,
+        let is_noted = self.is_noted(0);
+        let known = self.worker.as_mut()?;
+        known.looks += 1;
+        // And only right after this birth has answered: a later one may be
+        // there already, while a look that went to the earlier one has had
+        // no answer yet or was broken off.
+        let just = known.shown.take().is_some_and(|at| now < at + JUST);
+        let noted = match is_noted && just {
+            true => known.noted,
+            false => 0,
         };
         let expires = target.and_then(|target| known.time_at(target));
         Some(Plan {
@@ -362,6 +372,8 @@
         // a call that names the worker may mean an earlier birth.
         known.over = known.over.map(|over| over.max(now + LEAVES));
         known.clock = Some((look.time, now));
+        known.shown = Some(now);
+        known.doubted = false;
         if plan.number <= known.since {
             return false;
         }
@@ -398,6 +410,24 @@
         }
     }
 
+    /// Takes in that a start in a life had no answer.
+    pub fn doubt(&mut self, life: &Life) {
+        let known = self.worker.as_mut();
+        if let Some(known) = known.filter(|k| k.beat.life == *life) {
+            known.doubted = true;
+        }
+    }
+
+    /// Returns whether an end is listed that may be acknowledged, beyond
+    /// those up to a number that have been.
+    pub fn is_noted(&self, beyond: u64) -> bool {
+        self.worker.as_ref().is_some_and(|known| {
+            let may = beyond + 1..=known.noted;
+            let mut ended = known.lists.iter().flat_map(|l| &l.ended);
+            ended.any(|end| may.contains(&end.number))
+        })
+    }
+
     /// Takes in that a look had no answer; returns whether that is news: the
     /// worker now counts as deaf, or its life has come to its end.
     pub fn unanswered(&mut self, now: Instant) -> bool {
@@ -468,6 +498,8 @@
             seen: false,
             shrunk: false,
             answered: now,
+            shown: None,
+            doubted: false,
             unanswered: 0,
             // An earlier life of this process may have leased so long.
             leased: Some(now + lease),
