Begin a broken gang anew though the silent worker's agent goes on

Change: a worker that answers its agent no more is as hidden as one whose agent is not heard. A unit whose next failure would be its job's waits.

--- a/src/graph/loss.rs
+++ b/src/graph/loss.rs
@@ -97,8 +97,9 @@
     /// Takes the runs of gangs for over whose members all tell that another
     /// one ended, but for those on one worker that is not heard of: it was
     /// there. Else the gang would wait until that worker's leases surely
-    /// have run out, 13 s; a worker taken away at short notice is the usual
-    /// case.
+    /// have run out, 13 s, or 6 s where its agent goes on beside it; a worker
+    /// taken away at short notice is the usual case. A last attempt does
+    /// wait: should that member have failed, the job is over.
     pub(super) fn end_broken(&mut self, now: Moment) {
         if !self.terms.policy.broken_tells {
             return;
@@ -106,7 +107,8 @@
         let mut over = Vec::new();
         for entry in self.live() {
             for (key, unit) in &entry.units {
-                if unit.cause != Cause::Hidden || !self.is_hidden(unit, now) {
+                let tells = unit.cause == Cause::Hidden && !entry.is_last(key);
+                if !tells || !self.is_hidden(unit, now) {
                     continue;
                 }
                 let Phase::Running(members) = &unit.phase else {
@@ -139,7 +141,7 @@
     }
 
     /// Returns whether what is left of a unit's run began on one worker that
-    /// nothing is heard of.
+    /// nothing is heard of, or that answers its agent no more.
     fn is_hidden(&self, unit: &Unit, now: Moment) -> bool {
         let mut left = unit.members();
         let Some(first) = left.next() else {
@@ -150,7 +152,9 @@
             .get(&first.place.agent)
             .filter(|worker| worker.life == first.place.life);
         let heard = worker.map_or(self.began, |worker| worker.granted);
-        now.now >= heard + self.terms.contact
+        let unheard = now.now >= heard + self.terms.contact;
+        let silent = worker.is_some_and(|worker| worker.silent);
+        (unheard || silent)
             && first.state == State::Present
             && left
                 .all(|m| m.place == first.place && m.state == State::Present)
