Reach the store by another entry while there is no direct way

Whether the store is away from one machine or from all decides what is right, and no constant can.

Change: a store of two ways. Entries name themselves under a lease; a call whose direct way is closed is made by one of three others that is in touch, once at most; a write that had no answer goes no second way. Where nobody is in touch calls wait as before. Who has no direct way does not claim anew. A submission without answer is made again after 350 ms, not after 1 s.

--- a/crates/landingvalve-sim/src/day.rs
+++ b/crates/landingvalve-sim/src/day.rs
@@ -10,6 +10,8 @@
 use landingvalve::cell::configuration::Source;
 use landingvalve::cell::member::Config;
 use landingvalve::cell::member::Member;
+use landingvalve::cell::relay::Peers;
+use landingvalve::cell::relay::Relay;
 use landingvalve::cell::session::Host;
 use landingvalve::cell::session::Session;
 use landingvalve::cell::Admission;
@@ -119,7 +121,7 @@
 }
 
 /// The entries that are up, as callers find them.
-type Doors = Arc<Mutex<BTreeMap<usize, Admission<store::Handle>>>>;
+type Doors = Arc<Mutex<BTreeMap<usize, Admission<Relay<store::Handle>>>>>;
 
 struct Agent {
     program: Option<Program>,
@@ -249,13 +251,18 @@
     fn start_entry(&mut self, at: usize) {
         let process = self.network.start(at);
         let address = format!("entry-{at}-{process}");
-        let host = Host::new();
+        let name = format!("entry-{at}");
+        let dial = self.network.dial(process);
+        let peers = Peers::new(&name, dial, log::none());
+        let direct = self.store.of(&self.network, process);
+        let store = Relay::new(direct, peers.clone(), log::none());
+        let host = Host::new().with_carrier(Arc::new(store.clone()));
         self.network.listen(&address, process, host.clone());
-        let store = self.store.of(&self.network, process);
+        let named = peers.follow(store.clone(), address.clone());
         let session = Session {
             store: store.clone(),
             holder: Holder {
-                process: format!("entry-{at}"),
+                process: name,
                 address: address.clone(),
                 life: address,
                 cores: 1.0,
@@ -269,7 +276,7 @@
         // Nobody stops it in an orderly way: who drops the other end would.
         let (stop, stopped) = watch::channel(false);
         let task = tokio::spawn(async move {
-            session.run(stopped).await;
+            tokio::join!(session.run(stopped), named);
             drop(stop);
         });
         self.entries[at] = Some(Program { process, task });
@@ -615,7 +622,7 @@
         false
     }
 
-    fn door(&mut self) -> Option<Admission<store::Handle>> {
+    fn door(&mut self) -> Option<Admission<Relay<store::Handle>>> {
         let doors = lock(&self.doors);
         let at =
             (!doors.is_empty()).then(|| self.random.usize(..doors.len()))?;
--- a/crates/landingvalve-sim/src/network.rs
+++ b/crates/landingvalve-sim/src/network.rs
@@ -10,6 +10,8 @@
 use jsonrpsee::core::async_trait;
 use landingvalve::cell::dial::Dial;
 use landingvalve::cell::dial::Peer;
+use landingvalve::cell::relay::call::Call;
+use landingvalve::cell::relay::call::Reply;
 use landingvalve::cell::rpc::Answer;
 use landingvalve::cell::rpc::CellServer;
 use landingvalve::cell::session::Host;
@@ -180,4 +182,18 @@
         self.host().await;
         serde_json::from_slice(&sent).map_err(error)
     }
+
+    async fn store(&self, call: Call) -> Result<Reply, Error> {
+        let error = |e: serde_json::Error| Error::new(&self.address, e);
+        let sent = serde_json::to_vec(&call).map_err(error)?;
+        tokio::time::sleep(WAY).await;
+        let host = self.host().await;
+        let call = serde_json::from_slice(&sent).map_err(error)?;
+        let reply = host.store(call).await;
+        let reply = reply.map_err(|e| Error::new(&self.address, e))?;
+        let sent = serde_json::to_vec(&reply).map_err(error)?;
+        tokio::time::sleep(WAY).await;
+        self.host().await;
+        serde_json::from_slice(&sent).map_err(error)
+    }
 }
--- a/src/cell/admission.rs
+++ b/src/cell/admission.rs
@@ -31,6 +31,11 @@
 const PATIENCE: Duration = Duration::from_millis(600);
 /// How long is waited before the store is asked again.
 const AGAIN: Duration = Duration::from_millis(60);
+/// How long a write may have no answer before it is made again, for the
+/// first time; twice as long each further time. The slowest answers of a
+/// store that serves took 340 ms; a job that waits for one that does not
+/// come is late 1.5 s after it was sent.
+const UNANSWERED: Duration = Duration::from_millis(350);
 /// How long the end of a job that runs is waited for: what it takes from its
 /// worker through the planner into the store, with some to spare.
 const END: Duration = Duration::from_millis(120);
@@ -143,6 +148,7 @@
             Put::Value(key, value, 0),
             Put::Value(keys::waits(&job.queue, &job.id), Vec::new(), 0),
         ];
+        let mut limit = UNANSWERED;
         loop {
             let unsure = self.is_unsure(&job.id);
             let until = match unsure {
@@ -156,7 +162,9 @@
                 };
             }
             let swap = self.store.swap(&absent, puts.clone());
-            match tokio::time::timeout_at(deadline, swap).await {
+            let answer = (Instant::now() + limit).min(deadline);
+            limit *= 2;
+            match tokio::time::timeout_at(answer, swap).await {
                 Ok(Ok(Swap::Written(_) | Swap::Refused(_))) => {
                     return Submitted::Accepted;
                 }
--- a/src/cell/dial.rs
+++ b/src/cell/dial.rs
@@ -1,4 +1,4 @@
-//! How an agent reaches the planner that the claim names.
+//! How entries are reached: the one that the claim names, and any other.
 //!
 //! Programs use [`Network`]; a simulation brings connections of its own.
 
@@ -8,13 +8,15 @@
 use jsonrpsee::core::async_trait;
 use jsonrpsee::ws_client::WsClient;
 
+use crate::cell::relay::call::Call;
+use crate::cell::relay::call::Reply;
 use crate::cell::rpc::Answer;
 use crate::cell::rpc::CellClient;
 use crate::graph::Report;
 use crate::wire::link;
 use crate::wire::link::Error;
 
-/// A planner that is connected.
+/// An entry that is connected.
 #[async_trait]
 pub trait Peer: Send + Sync {
     /// Reports, and returns what the planner answers.
@@ -23,9 +25,16 @@
     ///
     /// If there is no answer: the report may have been heard.
     async fn sync(&self, report: Report) -> Result<Answer, Error>;
+
+    /// Lets it make a call of the store.
+    ///
+    /// # Errors
+    ///
+    /// If there is no answer: the call may have been made.
+    async fn store(&self, call: Call) -> Result<Reply, Error>;
 }
 
-/// Makes connections to planners.
+/// Makes connections to entries.
 #[async_trait]
 pub trait Dial: Debug + Send + Sync {
     /// Returns a connection of its own to `address`.
@@ -60,4 +69,9 @@
         let answer = CellClient::sync(&*self.client, report).await;
         answer.map_err(|error| Error::new(&self.address, error))
     }
+
+    async fn store(&self, call: Call) -> Result<Reply, Error> {
+        let reply = CellClient::store(&*self.client, call).await;
+        reply.map_err(|error| Error::new(&self.address, error))
+    }
 }
--- a/src/cell/keys.rs
+++ b/src/cell/keys.rs
@@ -8,6 +8,7 @@
 //! | `lv/in/ID/cancel` | entries | a job is cancelled |
 //! | `lv/queue/QUEUE/ID` | entries, planner | accepted, until it begins |
 //! | `lv/progress/ID` | planner | a run is given out, or has ended |
+//! | `lv/entry/ENTRY` | entries | while they are there, under a lease |
 //! | `lv/report/AGENT` | agents | ends are listed and no planner is reached |
 
 /// The claim of the planner.
@@ -22,6 +23,14 @@
 /// Everything that agents keep which reach no planner.
 pub const REPORTS: &str = "lv/report/";
 
+/// Everything that entries say of themselves.
+pub const ENTRIES: &str = "lv/entry/";
+
+/// Returns the key of what an entry says of itself.
+pub fn entry(process: &str) -> String {
+    format!("{ENTRIES}{process}")
+}
+
 /// Returns the key of what an agent keeps while it reaches no planner.
 pub fn report(agent: &str) -> String {
     format!("{REPORTS}{agent}")
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -5,6 +5,8 @@
 //!   ([`planner`]), which drives [`crate::graph::Book`].
 //! * [`Member`](member::Member) is the agent beside a worker: it alone calls
 //!   the worker, and reports to the planner that the claim names.
+//! * [`relay`] reaches the store by way of other entries while there is no
+//!   direct way.
 //! * [`configuration`] keeps the operators' configuration up to date, and
 //!   knows how old that knowledge is.
 //!
@@ -21,6 +23,7 @@
 pub mod member;
 pub mod planner;
 pub mod reach;
+pub mod relay;
 pub mod rpc;
 pub mod server;
 pub mod session;
--- a/src/cell/rpc.rs
+++ b/src/cell/rpc.rs
@@ -1,10 +1,12 @@
-//! What an agent and the planner say to each other.
+//! What agents and entries say to each other.
 
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::cell::relay::call::Call;
+use crate::cell::relay::call::Reply;
 use crate::graph::Orders;
 use crate::graph::Report;
 use crate::store::Revision;
@@ -26,10 +28,14 @@
     },
 }
 
-/// The calls of a planner.
+/// The calls that an entry takes.
 #[rpc(client, server, namespace = "cell")]
 pub trait Cell {
     /// Takes a report in, and answers once there are orders, or soon.
     #[method(name = "sync")]
     async fn sync(&self, report: Report) -> RpcResult<Answer>;
+
+    /// Makes a call of the store for a process that has no direct way to it.
+    #[method(name = "store")]
+    async fn store(&self, call: Call) -> RpcResult<Reply>;
 }
--- a/src/cell/session.rs
+++ b/src/cell/session.rs
@@ -1,5 +1,6 @@
 //! Claiming, and hosting the planner for as long as the claim holds.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use jsonrpsee::core::async_trait;
@@ -23,6 +24,9 @@
 use crate::cell::planner::Planner;
 use crate::cell::planner::Start;
 use crate::cell::planner::HOLD;
+use crate::cell::relay::call::Call;
+use crate::cell::relay::call::Reply;
+use crate::cell::relay::Carrier;
 use crate::cell::rpc::Answer;
 use crate::cell::rpc::CellServer;
 use crate::graph::Report;
@@ -48,9 +52,11 @@
 const STARTING: Duration = Duration::from_millis(600);
 
 /// The planner of this process, while it hosts one.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Host {
     current: watch::Sender<Option<ActorRef<Message>>>,
+    /// Who makes calls of the store for other processes, if anybody does.
+    carrier: Option<Arc<dyn Carrier>>,
 }
 
 impl Default for Host {
@@ -64,6 +70,16 @@
     pub fn new() -> Host {
         Host {
             current: watch::Sender::new(None),
+            carrier: None,
+        }
+    }
+
+    /// Lets `carrier` make calls of the store for other processes.
+    #[must_use]
+    pub fn with_carrier(self, carrier: Arc<dyn Carrier>) -> Host {
+        Host {
+            carrier: Some(carrier),
+            ..self
         }
     }
 
@@ -98,6 +114,13 @@
             )),
         }
     }
+
+    async fn store(&self, call: Call) -> RpcResult<Reply> {
+        Ok(match &self.carrier {
+            Some(carrier) => carrier.serve(call).await,
+            None => Reply::Away,
+        })
+    }
 }
 
 /// What an entry needs to claim and plan.
@@ -124,7 +147,11 @@
     /// told to stop.
     pub async fn run(self, stop: watch::Receiver<bool>) {
         while !*stop.borrow() {
-            self.turn(stop.clone()).await;
+            // Whoever plans by way of others is the first to be left alone.
+            match self.store.is_direct() {
+                true => self.turn(stop.clone()).await,
+                false => pause(AGAIN).await,
+            }
         }
     }
 
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -5,7 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::StatusCode;
 use opentelemetry::KeyValue;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::time::Instant;
 
 use crate::http;
@@ -34,6 +37,18 @@
     Forgotten(Revision),
 }
 
+impl Error {
+    /// Returns whether the call was refused since too many are made.
+    pub fn is_throttled(&self) -> bool {
+        match self {
+            Error::Unreached(http::Error::Unexpected { status, .. }) => {
+                *status == StatusCode::TOO_MANY_REQUESTS
+            }
+            _ => false,
+        }
+    }
+}
+
 impl From<http::Error> for Error {
     fn from(error: http::Error) -> Error {
         match error {
@@ -46,11 +61,12 @@
 }
 
 /// A key and its value.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Item {
     /// The key.
     pub key: String,
     /// The value.
+    #[serde(with = "api::base64")]
     pub value: Vec<u8>,
     /// The revision at which it was created.
     pub created: Revision,
@@ -70,7 +86,7 @@
 }
 
 /// Keys and the revision at which they were read.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Listing {
     /// The store's revision.
     pub revision: Revision,
@@ -79,7 +95,7 @@
 }
 
 /// A condition on a key.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Compare {
     /// It was created at this revision; 0 if it must not be there.
     Created(String, Revision),
@@ -88,10 +104,10 @@
 }
 
 /// A write.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Put {
     /// Writes a key that hangs on a lease, 0 for none.
-    Value(String, Vec<u8>, LeaseId),
+    Value(String, #[serde(with = "api::base64")] Vec<u8>, LeaseId),
     /// Deletes a key.
     Delete(String),
 }
@@ -107,7 +123,7 @@
 }
 
 /// The outcome of writes under conditions.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Swap {
     /// All conditions held, and all was written at this revision.
     Written(Revision),
@@ -116,7 +132,7 @@
 }
 
 /// A change to a key.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Change {
     /// It was written.
     Put(Item),
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -28,6 +28,12 @@
 /// not while an answer is coming: who puts a limit of its own on a call whose
 /// answer others make larger and larger, never gets it over a narrow link.
 pub trait Store: Clone + Send + Sync + 'static {
+    /// Returns whether calls go directly to the store, and not by another
+    /// process.
+    fn is_direct(&self) -> bool {
+        true
+    }
+
     /// Returns a key, if it is there.
     fn get(
         &self,
@@ -76,7 +82,9 @@
 }
 
 /// Changes, and the revision up to which they are whole.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(
+    Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize,
+)]
 pub struct Changes {
     /// From which revision to go on.
     pub revision: Revision,
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -80,6 +80,10 @@
         "landingvalve_limited",
         "What was turned away at a limit of this process, by limit.",
     ),
+    about(
+        "landingvalve_relayed",
+        "Calls of the store by way of another entry, by outcome.",
+    ),
     about(
         "landingvalve_strange",
         "What came from outside and could not be used, by kind.",
@@ -167,6 +171,8 @@
     pub looks: Counter<u64>,
     /// What was turned away at a limit of this process.
     pub limited: Counter<u64>,
+    /// Calls of the store by way of another entry.
+    pub relayed: Counter<u64>,
     /// What came from outside and could not be used, by kind.
     pub strange: Counter<u64>,
     /// Claims.
@@ -225,6 +231,7 @@
             order: histogram("landingvalve_order_seconds"),
             looks: counter("landingvalve_looks"),
             limited: counter("landingvalve_limited"),
+            relayed: counter("landingvalve_relayed"),
             strange: counter("landingvalve_strange"),
             claims: counter("landingvalve_claims"),
             ready: gauge("landingvalve_ready"),
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -28,6 +28,7 @@
 mod predict;
 mod promises;
 mod reach;
+mod relay;
 mod replay;
 mod session;
 mod settings;
