Tell what a unit lacks that finds no room, with figures

"Room" was one word for six things. A unit's line now says which it is, how many accelerators it asks for, how many are free, how many of its tasks fit, and what stopping others would throw away where that was not done.

--- a/src/graph/decision.rs
+++ b/src/graph/decision.rs
@@ -9,6 +9,7 @@
 use crate::graph::Outcome;
 use crate::graph::Resources;
 use crate::graph::Run;
+use crate::graph::Shortage;
 use crate::graph::Text;
 use crate::graph::UnitKey;
 
@@ -83,6 +84,8 @@
         slack: i64,
         /// How many workers it may use.
         workers: usize,
+        /// What it lacks, where there are such workers.
+        shortage: Option<Shortage>,
     },
     /// Room is kept for a unit.
     Kept {
--- a/src/graph/mod.rs
+++ b/src/graph/mod.rs
@@ -36,6 +36,7 @@
 mod reserve;
 mod schedule;
 mod settle;
+mod shortage;
 mod shrink;
 mod spare;
 mod unit;
@@ -84,6 +85,8 @@
 pub use report::Report;
 pub use report::Running;
 pub use report::Worker as WorkerReport;
+pub use shortage::Lack;
+pub use shortage::Shortage;
 
 use std::time::Instant;
 use std::time::SystemTime;
--- a/src/graph/preempt.rs
+++ b/src/graph/preempt.rs
@@ -62,6 +62,9 @@
     all: Vec<Victim>,
     /// Which of them run on each agent's worker, the cheapest first.
     by_agent: BTreeMap<AgentId, Vec<usize>>,
+    /// The core-seconds that the last unit's room would have thrown away, if
+    /// it was not taken for that.
+    pub(super) dear: Option<f64>,
     /// Which of them are being stopped already.
     stopped: BTreeSet<usize>,
     /// What it costs to make room on each agent's worker: the gangs of a
@@ -98,6 +101,7 @@
             pool: Some(pool),
             all,
             by_agent,
+            dear: None,
             stopped: BTreeSet::new(),
             costs: RefCell::default(),
         }
@@ -160,6 +164,7 @@
         };
         let most = self.terms.policy.most_lost;
         if eviction.cost > most && !self.is_guaranteed(request) {
+            victims.dear = Some(eviction.cost);
             return false;
         }
         let stopped = (eviction.victims.len(), eviction.cost);
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -62,7 +62,8 @@
             if !without.contains(&like)
                 && !self.try_place(&unit, &mut victims, now)
             {
-                self.tell_wait(&unit.id, &unit.key, now);
+                let dear = victims.dear.take();
+                self.tell_wait(&unit.id, &unit.key, dear, now);
                 without.insert(like);
             }
         }
--- /dev/null
+++ b/src/graph/shortage.rs
@@ -0,0 +1,105 @@
+//! What a unit that finds no room lacks, with figures.
+//!
+//! "No room" alone says nothing of what would help: more workers, gangs that
+//! lie closer together, less that is kept, or another one that is stopped.
+
+use crate::graph::book::Worker;
+use crate::graph::place::Request;
+use crate::graph::Book;
+use crate::graph::Moment;
+use crate::graph::Resources;
+
+/// Why a unit finds no room, the first that holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lack {
+    /// Fewer accelerators are free than it asks for.
+    Accelerators,
+    /// Enough are free, though not enough on single workers.
+    Together,
+    /// Enough are free together, but cores or memory are not.
+    Cores,
+    /// There is room enough, part of it kept for others.
+    Kept,
+    /// There is room enough, part of it left to more urgent work.
+    Spare,
+    /// There is room enough, but not within one rack.
+    Rack,
+}
+
+impl Lack {
+    /// Returns the word for it in logs.
+    pub fn word(self) -> &'static str {
+        match self {
+            Lack::Accelerators => "accelerators",
+            Lack::Together => "accelerators together",
+            Lack::Cores => "cores or memory",
+            Lack::Kept => "room that is kept",
+            Lack::Spare => "room for urgent work",
+            Lack::Rack => "room in one rack",
+        }
+    }
+}
+
+/// What a unit lacks.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Shortage {
+    /// Why it finds no room.
+    pub lack: Lack,
+    /// The accelerators that it asks for.
+    pub needed: i64,
+    /// Those that nothing is in, on workers that it may use.
+    pub free: i64,
+    /// How many of its tasks would fit now, all but racks looked away from.
+    pub fits: u32,
+    /// The core-seconds that stopping others would throw away, if that makes
+    /// room.
+    pub dear: Option<f64>,
+}
+
+impl Book {
+    /// Returns what a unit lacks that finds no room.
+    pub(super) fn shortage(
+        &self,
+        request: &Request,
+        dear: Option<f64>,
+        now: Moment,
+    ) -> Shortage {
+        let workers = self.workers.values();
+        let usable = workers.filter(|w| self.usable(w, request, now));
+        let usable: Vec<&Worker> = usable.collect();
+        let accelerators = Resources {
+            accelerators: request.charge.accelerators,
+            ..Resources::default()
+        };
+        let slots = |room: fn(&Worker) -> Resources, charge: &Resources| {
+            let each = usable.iter().map(|w| room(w).times(charge));
+            each.fold(0, u32::saturating_add)
+        };
+        let free = usable.iter().map(|w| w.empty().accelerators).sum();
+        let needed = request.charge.accelerators * i64::from(request.width);
+        let candidates = self.candidates(request, now);
+        let fits = candidates.iter().map(|c| c.slots(&request.charge));
+        let fits = fits.fold(0, u32::saturating_add);
+        let width = request.width;
+        let lack = if free < needed {
+            Lack::Accelerators
+        } else if slots(Worker::empty, &accelerators) < width {
+            Lack::Together
+        } else if slots(Worker::empty, &request.charge) < width {
+            Lack::Cores
+        } else if slots(Worker::free, &request.charge) < width {
+            Lack::Kept
+        } else if fits < width {
+            Lack::Spare
+        } else {
+            Lack::Rack
+        };
+        Shortage {
+            lack,
+            needed,
+            free,
+            fits,
+            dear,
+        }
+    }
+}
--- a/src/graph/urgency.rs
+++ b/src/graph/urgency.rs
@@ -65,8 +65,15 @@
         left as i64 - past as i64
     }
 
-    /// Tells what a unit waits for, unless that was told already.
-    pub(super) fn tell_wait(&mut self, id: &Id, key: &UnitKey, now: Moment) {
+    /// Tells what a unit waits for, unless that was told already; `dear` is
+    /// what stopping others for it would throw away.
+    pub(super) fn tell_wait(
+        &mut self,
+        id: &Id,
+        key: &UnitKey,
+        dear: Option<f64>,
+        now: Moment,
+    ) {
         let Some(entry) = self.jobs.get(id) else {
             return;
         };
@@ -86,11 +93,13 @@
             false => Wait::Room,
         };
         let news = unit.waits.is_none_or(|(told, _)| told != what);
+        let lacks = news && what != Wait::Worker;
         let told = Decision::Waits {
             of: entry.subject(key),
             what,
             slack: self.slack(entry, key, now),
             workers,
+            shortage: lacks.then(|| self.shortage(&request, dear, now)),
         };
         let entry = self.jobs.get_mut(id);
         let unit = entry.and_then(|e| e.units.get_mut(key));
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -32,6 +32,7 @@
 mod replay;
 mod session;
 mod settings;
+mod shortage;
 mod shrunk;
 mod spare;
 mod stage;
