Throw away for an urgent unit as much as it does, if it would be in time

Change: a pure module says what may be thrown away: as much as the unit's own work where it would then be in time, the fixed least otherwise.

--- a/src/graph/mod.rs
+++ b/src/graph/mod.rs
@@ -31,6 +31,7 @@
 mod place;
 mod policy;
 mod preempt;
+pub mod price;
 mod progress;
 mod report;
 mod reserve;
--- a/src/graph/policy.rs
+++ b/src/graph/policy.rs
@@ -40,9 +40,12 @@
     /// The share of a pool's workers on which room is kept for units that
     /// have waited; 0 keeps none.
     pub kept: f64,
-    /// The most core-seconds that are thrown away for one urgent unit beyond
-    /// its account's guarantee. Of 30 to 1000, all earned the same.
+    /// The core-seconds that are thrown away for any urgent unit beyond its
+    /// account's guarantee. Of 30 to 1000, all earned the same.
     pub most_lost: f64,
+    /// How many times its own work may be thrown away for an urgent unit that
+    /// would then be in time, if that is more.
+    pub lost_in_time: f64,
     /// What run times are told from.
     pub prediction: Prediction,
     /// Whether workers that fail are kept apart.
@@ -67,6 +70,7 @@
             near: 0.5,
             kept: 0.35,
             most_lost: 120.0,
+            lost_in_time: 1.0,
             prediction: Prediction::Fitted,
             apart: true,
             probation: true,
--- a/src/graph/preempt.rs
+++ b/src/graph/preempt.rs
@@ -8,6 +8,8 @@
 use crate::graph::entry::Entry;
 use crate::graph::place::Candidate;
 use crate::graph::place::Request;
+use crate::graph::price;
+use crate::graph::price::Stake;
 use crate::graph::unit::Member;
 use crate::graph::unit::Phase;
 use crate::graph::unit::State;
@@ -162,7 +164,7 @@
         let Some(eviction) = best else {
             return false;
         };
-        let most = self.terms.policy.most_lost;
+        let most = self.most_lost(id, key, request, now);
         if eviction.cost > most && !self.is_guaranteed(request) {
             victims.dear = Some(eviction.cost);
             return false;
@@ -181,6 +183,24 @@
         true
     }
 
+    /// Returns how many core-seconds may be thrown away for a unit.
+    fn most_lost(
+        &self,
+        id: &str,
+        key: &UnitKey,
+        request: &Request,
+        now: Moment,
+    ) -> f64 {
+        let slack = self.jobs.get(id).map(|e| self.slack(e, key, now));
+        let own = cores(&request.charge) * f64::from(request.width);
+        let stake = Stake {
+            work: own * request.expected.as_secs_f64(),
+            slack_ms: slack.unwrap_or_default(),
+            stop: self.terms.stop,
+        };
+        price::limit(&self.terms.policy, &stake)
+    }
+
     /// Returns whether all urgent work of a unit's account fits into what
     /// the account is guaranteed.
     fn is_guaranteed(&self, request: &Request) -> bool {
@@ -259,10 +279,15 @@
     unit.stop.is_none() && members.iter().all(present)
 }
 
+/// Returns the cores that a task's work counts as.
+fn cores(charge: &Resources) -> f64 {
+    let cpu = charge.cpu + charge.accelerators * ACCELERATOR_CPU;
+    cpu as f64 / 1000.0
+}
+
 fn victim(entry: &Entry, key: &UnitKey, unit: &Unit, now: Moment) -> Victim {
     let step = &entry.job.steps[key.step];
     let charge = step.charge();
-    let each = charge.cpu + charge.accelerators * ACCELERATOR_CPU;
     let ran = |since| now.now.saturating_duration_since(since);
     let reserved = matches!(unit.phase, Phase::Reserved(_));
     let lost = match step.checkpoints {
@@ -275,7 +300,7 @@
             .unwrap_or_default(),
     };
     let places: Vec<Place> = unit.members().map(|m| m.place.clone()).collect();
-    let cores = each as f64 / 1000.0 * places.len() as f64;
+    let cores = cores(&charge) * places.len() as f64;
     Victim {
         id: entry.job.id.clone(),
         key: *key,
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -36,6 +36,7 @@
 mod shrunk;
 mod spare;
 mod stage;
+mod stops;
 mod support;
 mod suspended;
 mod takeover;
