--- /dev/null
+++ b/crates/landingvalve-experiment/src/policy.rs
@@ -0,0 +1,49 @@
+//! Policies by name, as an operator sets them.
+
+use landingvalve::graph::Policy;
+
+/// A setting that there is not, or a value that it cannot have.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0:?}: expected NAME=NUMBER, NAME one of {NAMES:?}")]
+pub struct Error(String);
+
+/// The settings that can be changed here.
+pub const NAMES: &[&str] =
+    &["spare", "near", "kept", "most_lost", "lost_in_time"];
+
+/// Returns the standing policy with some settings changed, each of them as
+/// `name=number`, with commas between.
+///
+/// # Errors
+///
+/// If one is none, or its value is no number from 0.
+///
+/// # Examples
+///
+/// ```
+/// let policy = landingvalve_experiment::policy::parse("spare=0,kept=0.5")?;
+/// assert_eq!((policy.spare, policy.kept), (0.0, 0.5));
+/// # Ok::<(), landingvalve_experiment::policy::Error>(())
+/// ```
+pub fn parse(text: &str) -> Result<Policy, Error> {
+    let mut policy = Policy::default();
+    let settings = text.split(',').map(str::trim).filter(|s| !s.is_empty());
+    for setting in settings {
+        let error = || Error(setting.to_owned());
+        let (name, value) = setting.split_once('=').ok_or_else(error)?;
+        let value: f64 = value.trim().parse().map_err(|_| error())?;
+        let slot = match name.trim() {
+            "spare" => &mut policy.spare,
+            "near" => &mut policy.near,
+            "kept" => &mut policy.kept,
+            "most_lost" => &mut policy.most_lost,
+            "lost_in_time" => &mut policy.lost_in_time,
+            _ => return Err(error()),
+        };
+        if !value.is_finite() || value < 0.0 {
+            return Err(error());
+        }
+        *slot = value;
+    }
+    Ok(policy)
+}
