Wait for a near place for as long as a far run costs more

Load: gangs with half again their length to spare.

Conclusion: 1, beyond which a unit would wait longer than spreading costs. The test waited 5.1 s of 10; it now checks both sides of the 10 s.

--- a/src/graph/policy.rs
+++ b/src/graph/policy.rs
@@ -67,7 +67,7 @@
     fn default() -> Policy {
         Policy {
             spare: 0.12,
-            near: 0.5,
+            near: 1.0,
             kept: 0.35,
             most_lost: 120.0,
             lost_in_time: 1.0,
--- a/tests/it/near.rs
+++ b/tests/it/near.rs
@@ -45,8 +45,10 @@
     let mut site = half_taken();
     site.submit(job("gang", 1, vec![step(2, 8, true)], &site));
     site.settle();
-    site.pass(Duration::from_millis(5100));
-    site.settle();
+    // Spread, its 5 s are 15: 10 more.
+    site.live(Duration::from_millis(9900));
+    assert_eq!(site.running("gang"), 0, "to wait costs less yet");
+    site.live(Duration::from_millis(200));
     assert_eq!(site.running("gang"), 2);
 }
 
