Late urgent units wait behind those in time; room is kept for late ones only

Cause: in a burst urgent units whose time was past were tried first, and each took the room of one that could have been in time; room kept after 1.5 s for units with 17 s left stood empty meanwhile.

Change: urgent units that can be in time go first, then late ones by size; an account's guaranteed work goes first whatever its time. Room is kept once a unit has no time left.

The test of a whole worker that is kept now holds with either way: after 2 s as before, and once none of its time is left.

--- a/crates/landingvalve-experiment/src/policy.rs
+++ b/crates/landingvalve-experiment/src/policy.rs
@@ -32,6 +32,15 @@
         let error = || Error(setting.to_owned());
         let (name, value) = setting.split_once('=').ok_or_else(error)?;
         let value: f64 = value.trim().parse().map_err(|_| error())?;
+        let flag = match name.trim() {
+            "kept_late" => Some(&mut policy.kept_late),
+            "late_last" => Some(&mut policy.late_last),
+            _ => None,
+        };
+        if let Some(flag) = flag {
+            *flag = value > 0.0;
+            continue;
+        }
         let slot = match name.trim() {
             "spare" => &mut policy.spare,
             "near" => &mut policy.near,
--- a/src/graph/policy.rs
+++ b/src/graph/policy.rs
@@ -46,6 +46,11 @@
     /// How many times its own work may be thrown away for an urgent unit that
     /// would then be in time, if that is more.
     pub lost_in_time: f64,
+    /// Whether room is kept only for units that would else be late.
+    pub kept_late: bool,
+    /// Whether urgent units that can no longer be in time wait behind those
+    /// that can, the smallest first.
+    pub late_last: bool,
     /// What run times are told from.
     pub prediction: Prediction,
     /// Whether workers that fail are kept apart.
@@ -71,6 +76,8 @@
             kept: 0.35,
             most_lost: 120.0,
             lost_in_time: 1.0,
+            kept_late: true,
+            late_last: true,
             prediction: Prediction::Fitted,
             apart: true,
             probation: true,
--- a/src/graph/preempt.rs
+++ b/src/graph/preempt.rs
@@ -248,7 +248,7 @@
 }
 
 /// Returns the most accelerators that a step of a job takes.
-fn accelerators(job: &Job) -> i64 {
+pub(super) fn accelerators(job: &Job) -> i64 {
     let step =
         |step: &Step| i64::from(step.replicas) * step.resources.accelerators;
     job.steps.iter().map(step).max().unwrap_or(0)
@@ -280,7 +280,7 @@
 }
 
 /// Returns the cores that a task's work counts as.
-fn cores(charge: &Resources) -> f64 {
+pub(super) fn cores(charge: &Resources) -> f64 {
     let cpu = charge.cpu + charge.accelerators * ACCELERATOR_CPU;
     cpu as f64 / 1000.0
 }
--- a/src/graph/reserve.rs
+++ b/src/graph/reserve.rs
@@ -41,7 +41,7 @@
         request: &Request,
         now: Moment,
     ) -> bool {
-        if now.now < request.ready + PATIENCE {
+        if now.now < request.ready + PATIENCE || self.has_time(id, key, now) {
             return false;
         }
         let workers = self.candidates(request, now).len();
@@ -62,6 +62,13 @@
         true
     }
 
+    /// Returns whether a unit can wait and be in time all the same.
+    fn has_time(&self, id: &Id, key: &UnitKey, now: Moment) -> bool {
+        let entry = self.jobs.get(id);
+        let slack = entry.map_or(0, |entry| self.slack(entry, key, now));
+        self.terms.policy.kept_late && slack > 0
+    }
+
     /// Returns the workers on which room is kept.
     fn kept_workers(&self, request: &Request) -> Vec<Place> {
         let mut kept = Vec::new();
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -15,6 +15,7 @@
 use crate::graph::unit::State;
 use crate::graph::unit::Unit;
 use crate::graph::unit::Why;
+use crate::graph::urgency::Rank;
 use crate::graph::Book;
 use crate::graph::Decision;
 use crate::graph::Id;
@@ -37,10 +38,7 @@
 struct Waiting {
     id: Id,
     key: UnitKey,
-    /// Priority 0 goes first, what can no longer be of use last.
-    class: u8,
-    /// The instant by which it would have to start to be in time.
-    latest: Instant,
+    rank: Rank,
 }
 
 impl Book {
@@ -233,6 +231,7 @@
 
     fn waiting(&self, now: Moment) -> Vec<Waiting> {
         let mut waiting = Vec::new();
+        let sure = self.sure_accounts();
         for id in &self.open {
             let Some(entry) = self.jobs.get(id) else {
                 continue;
@@ -252,20 +251,18 @@
                     continue;
                 }
                 on_trial |= suspect;
-                let (class, latest) = *urgency
+                let rank = *urgency
                     .entry(key.time)
-                    .or_insert_with(|| self.urgency(entry, key, now));
+                    .or_insert_with(|| self.rank(entry, key, &sure, now));
                 waiting.push(Waiting {
                     id: id.clone(),
                     key: *key,
-                    class,
-                    latest,
+                    rank,
                 });
             }
         }
         waiting.sort_by(|a, b| {
-            (a.class, a.latest, &a.id, a.key)
-                .cmp(&(b.class, b.latest, &b.id, b.key))
+            (a.rank, &a.id, a.key).cmp(&(b.rank, &b.id, b.key))
         });
         waiting
     }
--- a/src/graph/urgency.rs
+++ b/src/graph/urgency.rs
@@ -1,43 +1,114 @@
 //! How soon units must go on, and what they are told to wait for.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::graph::entry::Entry;
 use crate::graph::place::fill;
 use crate::graph::place::Request;
+use crate::graph::preempt::accelerators;
+use crate::graph::preempt::cores;
 use crate::graph::Book;
 use crate::graph::Decision;
 use crate::graph::Id;
 use crate::graph::Moment;
+use crate::graph::Text;
 use crate::graph::UnitKey;
 use crate::graph::Wait;
 
 /// How long after it was told what a unit waits for is looked at again.
 const LOOK_AGAIN: Duration = Duration::from_millis(1000);
 
+/// How many times its objective a job takes at most to be of any use.
+const USELESS: u32 = 3;
+
+/// What kind of unit waits, what goes first in front.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Class {
+    /// Urgent, and in time if it starts soon.
+    Urgent,
+    /// Urgent, and late all the same.
+    Late,
+    /// Any other.
+    Other,
+    /// Of no use any more.
+    Hopeless,
+}
+
+/// Where a unit stands among those that wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Rank {
+    class: Class,
+    /// Its core-seconds, where the smallest go first.
+    size: u64,
+    /// By when it would have to start to be in time.
+    latest: Instant,
+}
+
 impl Book {
-    /// Returns how soon a unit must go on.
-    pub(super) fn urgency(
+    /// Returns where a unit stands among those that wait; the urgent work of
+    /// `sure` accounts is within what they are guaranteed.
+    pub(super) fn rank(
         &self,
         entry: &Entry,
         key: &UnitKey,
+        sure: &BTreeSet<Text>,
         now: Moment,
-    ) -> (u8, Instant) {
+    ) -> Rank {
+        let job = &entry.job;
+        let (latest, hopeless) = self.due(entry, key);
+        let first = !self.terms.policy.late_last || now.now <= latest;
+        let class = match job.priority {
+            0 if first || sure.contains(&job.account) => Class::Urgent,
+            0 => Class::Late,
+            _ if now.now >= hopeless => Class::Hopeless,
+            _ => Class::Other,
+        };
+        let step = &job.steps[key.step];
+        let work = cores(&step.charge()) * f64::from(entry.width(key));
+        let work = work * self.expect(entry, key.step).as_secs_f64();
+        let size = match class {
+            Class::Late => work as u64,
+            _ => 0,
+        };
+        Rank {
+            class,
+            size,
+            latest,
+        }
+    }
+
+    /// Returns by when a unit would have to start to be in time, and from
+    /// when on it is of no use.
+    fn due(&self, entry: &Entry, key: &UnitKey) -> (Instant, Instant) {
         let job = &entry.job;
-        let chain = self.chain(entry);
         let objective = self.objective(entry);
         // Of a job that runs several times, each time counts by itself.
         let late = job.due(key.time).duration_since(job.accepted);
         let due = entry.accepted + late.unwrap_or_default();
-        let latest = due + objective.saturating_sub(chain);
-        let hopeless = due + objective * 3;
-        let class = match job.priority {
-            0 => 0,
-            _ if now.now >= hopeless => 2,
-            _ => 1,
+        let latest = due + objective.saturating_sub(self.chain(entry));
+        (latest, due + objective * USELESS)
+    }
+
+    /// Returns the accounts whose urgent work fits into what they are
+    /// guaranteed: it is begun in time, however late it is otherwise.
+    pub(super) fn sure_accounts(&self) -> BTreeSet<Text> {
+        let mut needed: BTreeMap<&Text, i64> = BTreeMap::new();
+        let urgent = self
+            .live()
+            .filter(|entry| !entry.over() && entry.job.priority == 0);
+        for entry in urgent {
+            let most = accelerators(&entry.job);
+            *needed.entry(&entry.job.account).or_default() += most;
+        }
+        let fits = |(account, needed): &(&Text, i64)| {
+            let guaranteed = self.guarantees.get(*account).copied();
+            *needed <= guaranteed.unwrap_or(0)
         };
-        (class, latest)
+        let sure = needed.into_iter().filter(fits);
+        sure.map(|(account, _)| account.clone()).collect()
     }
 
     /// Returns within which a job is to end, as far as its runs tell.
@@ -59,7 +130,7 @@
         key: &UnitKey,
         now: Moment,
     ) -> i64 {
-        let (_, latest) = self.urgency(entry, key, now);
+        let (latest, _) = self.due(entry, key);
         let left = latest.saturating_duration_since(now.now).as_millis();
         let past = now.now.saturating_duration_since(latest).as_millis();
         left as i64 - past as i64
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -19,6 +19,7 @@
 mod limits;
 mod near;
 mod odd_jobs;
+mod order;
 mod pace;
 mod pages;
 mod plan_health;
