Keep room at once for what lasts

Cause: units that last are given an objective that says nothing of them; room was kept for them only once that had passed. Callers' rules want a lasting task at work 6 s after its last run, however full the site is.

--- a/src/graph/reserve.rs
+++ b/src/graph/reserve.rs
@@ -62,11 +62,15 @@
         true
     }
 
-    /// Returns whether a unit can wait and be in time all the same.
+    /// Returns whether a unit can wait and be in time all the same; one that
+    /// lasts has no time to lose.
     fn has_time(&self, id: &Id, key: &UnitKey, now: Moment) -> bool {
-        let entry = self.jobs.get(id);
-        let slack = entry.map_or(0, |entry| self.slack(entry, key, now));
-        self.terms.policy.kept_late && slack > 0
+        let Some(entry) = self.jobs.get(id) else {
+            return false;
+        };
+        self.terms.policy.kept_late
+            && !entry.job.steps[key.step].lasting
+            && self.slack(entry, key, now) > 0
     }
 
     /// Returns the workers on which room is kept.
--- a/tests/it/order.rs
+++ b/tests/it/order.rs
@@ -69,3 +69,20 @@
     site.settle();
     assert_eq!(site.running("wide"), 1);
 }
+
+#[test]
+fn room_is_kept_at_once_for_what_lasts() {
+    let mut site = Site::new(&[("w1", "r1")]);
+    site.submit(job("first", 1, vec![step(4, 1, false)], &site));
+    site.settle();
+    let mut wide = step(1, 8, false);
+    wide.lasting = true;
+    site.submit(job("wide", 1, vec![wide], &site));
+    site.live(Duration::from_secs(3));
+    site.submit(job("second", 1, vec![step(4, 1, false)], &site));
+    site.settle();
+    assert_eq!(site.running("second"), 0);
+    site.end_all("first");
+    site.settle();
+    assert_eq!(site.running("wide"), 1);
+}
