--- a/src/cell/member/act.rs
+++ b/src/cell/member/act.rs
@@ -5,8 +5,8 @@
 use tokio::time::error::Elapsed;
 use tokio::time::Instant;
 
-use crate::cell::member::state::Key;
-use crate::cell::member::state::Progress;
+use crate::cell::member::known::Key;
+use crate::cell::member::known::Progress;
 use crate::cell::member::Member;
 use crate::cell::pause;
 use crate::cell::worker::Call;
--- a/src/cell/member/mod.rs
+++ b/src/cell/member/mod.rs
@@ -7,6 +7,7 @@
 
 mod act;
 mod keep;
+mod known;
 mod link;
 mod look;
 mod state;
--- a/src/cell/relay/peers.rs
+++ b/src/cell/relay/peers.rs
@@ -38,8 +38,9 @@
 /// For how long nobody is asked after all were found to be away: while the
 /// store is down for all, every call of every process would ask three.
 const ALONE: Duration = Duration::from_millis(400);
-/// How long an entry that is gone is still named at most, and how often it
-/// says that it is there: a call a minute for each process, seven in all.
+/// How long an entry that is gone is still named at most, and the longest
+/// that one waits before it says again that it is there: two calls every 5
+/// to 9 s for each process, one of them at a tenth of the price.
 const NAMED: Duration = Duration::from_secs(30);
 const RENEW: Duration = Duration::from_secs(9);
 /// How soon after the first time the others are read again: all processes
