--- a/src/graph/policy.rs
+++ b/src/graph/policy.rs
@@ -35,7 +35,9 @@
     /// for urgent work; 0 leaves none.
     pub spare: f64,
     /// The share of what a far run costs more that is waited for a near
-    /// place; 0 waits for none.
+    /// place; 0 waits for none. All of it earns 0.012 +- 0.003 more of what
+    /// callers could than half (100 days of `landingvalve-experiment`); more
+    /// than all would wait longer than it saves.
     pub near: f64,
     /// The share of a pool's workers on which room is kept for units that
     /// have waited; 0 keeps none.
--- a/src/graph/reserve.rs
+++ b/src/graph/reserve.rs
@@ -3,6 +3,10 @@
 //! Small tasks fill every gap as soon as it opens. A unit that has waited
 //! is therefore promised the workers that will have room for it first:
 //! nothing new is placed there until it has begun.
+//!
+//! Not before it has no time left: room kept after 1.5 s for gangs with 17 s
+//! stood empty while others ran out of time, 0.008 +- 0.003 of what callers
+//! could earn (100 days of `landingvalve-experiment`).
 
 use std::time::Duration;
 use std::time::Instant;
--- a/src/graph/urgency.rs
+++ b/src/graph/urgency.rs
@@ -1,4 +1,11 @@
 //! How soon units must go on, and what they are told to wait for.
+//!
+//! The load that the order answers: bursts of twice the urgent gangs that
+//! there is room for. By the latest start alone those whose time is past go
+//! first, and each takes the room of one that could be in time, until all are
+//! late. Behind those, the smallest first, they cost 0.009 +- 0.003 less of
+//! what callers could earn (100 days of `landingvalve-experiment`). What an
+//! account is guaranteed goes first however late it is.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
