--- a/src/cell/relay/mod.rs
+++ b/src/cell/relay/mod.rs
@@ -11,8 +11,8 @@
 //! Of 14 urgent jobs that were late on a day on which three of nine entries
 //! were cut off, 10 had met one of these.
 //!
-//! A call is passed on once at most, and a write never goes two ways: one
-//! that had no answer is lost, whichever way it went.
+//! A call is passed on once at most, and a write that may have had its effect
+//! goes no second way: one that had no answer is lost, whichever way it went.
 
 pub mod call;
 mod peers;
