Tell how urgent work stands to its account's guarantee

Whether a job counted as guaranteed, by what sum and since when, and who held the accelerators that it waited for, no line told: hypotheses of the incident could not be told apart. A unit that waits, and one that is placed, now tells what its account is guaranteed, what its urgent work asks for, whether it is within and what is left until it has to begin; a unit that waits also who holds the pool: within guarantees, lent, or lower. A histogram has the wait of first runs within a guarantee. The bound is read from the settings. What stood twice (accounts, one request) is one module; no decision changes.

--- a/src/cell/teller.rs
+++ b/src/cell/teller.rs
@@ -7,6 +7,7 @@
 use crate::graph::Decision;
 use crate::graph::Life;
 use crate::graph::Outcome;
+use crate::graph::Standing;
 use crate::graph::Subject;
 use crate::graph::Wait;
 use crate::store::Revision;
@@ -102,8 +103,21 @@
             Wait::Rack => "waits for a rack",
         },
         Decision::Kept { .. } => "room kept",
-        Decision::Placed { waited, .. } => {
+        Decision::Placed {
+            waited,
+            run,
+            standing,
+            ..
+        } => {
             metrics.wait.record(waited.as_secs_f64(), &[]);
+            match standing {
+                Some(standing) if standing.within && *run == 1 => {
+                    let late = if standing.left < 0 { "yes" } else { "no" };
+                    let labels = [label("late", late)];
+                    metrics.owed.record(waited.as_secs_f64(), &labels);
+                }
+                _ => {}
+            }
             "placed"
         }
         Decision::Stopped { .. } => "stopped",
@@ -167,6 +181,7 @@
             what,
             slack,
             workers,
+            standing,
             shortage,
         } => slog::info!(log,
             "planner: a unit waits"; of, "on" => word(*what),
@@ -176,6 +191,10 @@
             "free" => shortage.map(|s| s.free),
             "fits" => shortage.map(|s| s.fits),
             "dear_core_s" => shortage.and_then(|s| s.dear).map(f64::round),
+            "held_within" => shortage.map(|s| s.holders.within),
+            "held_lent" => shortage.map(|s| s.holders.lent),
+            "held_lower" => shortage.map(|s| s.holders.lower),
+            Promise(*standing),
             "token" => token),
         Decision::Kept {
             of,
@@ -193,11 +212,12 @@
             waited,
             slack,
             expected,
+            standing,
         } => slog::info!(log,
             "planner: a unit is placed"; of, "run" => run,
             "workers" => names(on), "waited_ms" => millis(waited),
             "slack_ms" => slack, "expected_ms" => millis(expected),
-            "token" => token),
+            Promise(*standing), "token" => token),
         Decision::Stopped { of, run, why } => slog::info!(log,
             "planner: a run is stopped"; of, "run" => run, "why" => why,
             "token" => token),
@@ -238,6 +258,25 @@
     }
 }
 
+/// How a unit stands to what its account is guaranteed, if it is urgent.
+struct Promise(Option<Standing>);
+
+impl slog::KV for Promise {
+    fn serialize(
+        &self,
+        _record: &slog::Record<'_>,
+        to: &mut dyn slog::Serializer,
+    ) -> slog::Result {
+        let Promise(Some(standing)) = self else {
+            return Ok(());
+        };
+        to.emit_i64("guaranteed", standing.guaranteed)?;
+        to.emit_i64("account_needs", standing.needed)?;
+        to.emit_bool("within_guarantee", standing.within)?;
+        to.emit_i64("owed_in_ms", standing.left)
+    }
+}
+
 impl slog::KV for Subject {
     fn serialize(
         &self,
--- a/src/graph/book.rs
+++ b/src/graph/book.rs
@@ -47,6 +47,8 @@
     pub gang_wait: Duration,
     /// The longest that a stopped task still occupies its room.
     pub stop: Duration,
+    /// Within which urgent work begins that its account is guaranteed.
+    pub reclaim: Duration,
     /// How decisions are made where more than one way would do.
     pub policy: Policy,
 }
@@ -60,6 +62,7 @@
             far: 3.0,
             gang_wait: Duration::from_secs(3),
             stop: Duration::from_secs(1),
+            reclaim: Duration::from_millis(3400),
             policy: Policy::default(),
         }
     }
--- a/src/graph/decision.rs
+++ b/src/graph/decision.rs
@@ -10,6 +10,7 @@
 use crate::graph::Resources;
 use crate::graph::Run;
 use crate::graph::Shortage;
+use crate::graph::Standing;
 use crate::graph::Text;
 use crate::graph::UnitKey;
 
@@ -84,6 +85,8 @@
         slack: i64,
         /// How many workers it may use.
         workers: usize,
+        /// How it stands to what its account is guaranteed, if it is urgent.
+        standing: Option<Standing>,
         /// What it lacks, where there are such workers.
         shortage: Option<Shortage>,
     },
@@ -112,6 +115,8 @@
         slack: i64,
         /// How long it is expected to run.
         expected: Duration,
+        /// How it stands to what its account is guaranteed, if it is urgent.
+        standing: Option<Standing>,
     },
     /// A run is stopped.
     Stopped {
--- /dev/null
+++ b/src/graph/guarantee.rs
@@ -0,0 +1,148 @@
+//! What client accounts are guaranteed, and which urgent work is within it.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use crate::graph::entry::Entry;
+use crate::graph::unit::Phase;
+use crate::graph::Book;
+use crate::graph::Job;
+use crate::graph::Moment;
+use crate::graph::Step;
+use crate::graph::Text;
+use crate::graph::UnitKey;
+
+/// How an urgent unit stands to what its account is guaranteed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// The accelerators that the account is guaranteed.
+    pub guaranteed: i64,
+    /// Those that all of its urgent work asks for which is not over.
+    pub needed: i64,
+    /// Whether the unit is within the guarantee.
+    pub within: bool,
+    /// What is left until such a unit has to begin, in ms; below 0 once that
+    /// is past.
+    pub left: i64,
+}
+
+/// Who holds the accelerators of a pool, with those that are kept.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Holders {
+    /// Urgent work within guarantees.
+    pub within: i64,
+    /// Urgent work beyond guarantees, which borrows.
+    pub lent: i64,
+    /// All other work.
+    pub lower: i64,
+}
+
+/// Returns the most accelerators that a step of a job takes.
+pub(super) fn accelerators(job: &Job) -> i64 {
+    let step =
+        |step: &Step| i64::from(step.replicas) * step.resources.accelerators;
+    job.steps.iter().map(step).max().unwrap_or(0)
+}
+
+impl Book {
+    /// Returns the urgent jobs that are not over.
+    fn urgent_jobs(&self) -> impl Iterator<Item = &Entry> {
+        self.live()
+            .filter(|entry| !entry.over() && entry.job.priority == 0)
+    }
+
+    /// Returns the accelerators that the urgent work of each account asks
+    /// for.
+    fn needed(&self) -> BTreeMap<&Text, i64> {
+        let mut needed = BTreeMap::new();
+        for entry in self.urgent_jobs() {
+            let most = accelerators(&entry.job);
+            *needed.entry(&entry.job.account).or_default() += most;
+        }
+        needed
+    }
+
+    fn guaranteed(&self, account: &Text) -> i64 {
+        self.guarantees.get(account).copied().unwrap_or(0)
+    }
+
+    /// Returns the accounts whose urgent work fits into what they are
+    /// guaranteed: it is begun in time, however late it is otherwise.
+    pub(super) fn sure_accounts(&self) -> BTreeSet<Text> {
+        let needed = self.needed().into_iter();
+        let sure =
+            needed.filter(|(of, needed)| *needed <= self.guaranteed(of));
+        sure.map(|(account, _)| account.clone()).collect()
+    }
+
+    /// Returns whether a job is within what its account is guaranteed.
+    pub(super) fn is_guaranteed(&self, entry: &Entry) -> bool {
+        let account = &entry.job.account;
+        let of = self.urgent_jobs().filter(|e| e.job.account == *account);
+        let needed: i64 = of.map(|e| accelerators(&e.job)).sum();
+        needed <= self.guaranteed(account)
+    }
+
+    /// Returns by when a unit has to begin that is within its account's
+    /// guarantee: what has not run yet from when its job was accepted.
+    pub(super) fn owed(&self, entry: &Entry, key: &UnitKey) -> Instant {
+        let kept = entry.progress.units.get(key);
+        let first = entry.job.steps[key.step].after.is_empty()
+            && entry.job.repeat.is_none()
+            && kept.is_none_or(|kept| kept.run <= 1);
+        let ready = entry.units.get(key).map(|unit| unit.ready);
+        let since = match ready {
+            Some(ready) if !first => ready,
+            _ => entry.accepted,
+        };
+        since + self.terms.reclaim
+    }
+
+    /// Returns how a unit stands to what its account is guaranteed, if it is
+    /// urgent.
+    pub(super) fn standing(
+        &self,
+        entry: &Entry,
+        key: &UnitKey,
+        now: Moment,
+    ) -> Option<Standing> {
+        if entry.job.priority > 0 {
+            return None;
+        }
+        let account = &entry.job.account;
+        let owed = self.owed(entry, key);
+        let left = owed.saturating_duration_since(now.now).as_millis();
+        let past = now.now.saturating_duration_since(owed).as_millis();
+        Some(Standing {
+            guaranteed: self.guaranteed(account),
+            needed: self.needed().get(account).copied().unwrap_or(0),
+            within: self.is_guaranteed(entry),
+            left: left as i64 - past as i64,
+        })
+    }
+
+    /// Returns who holds the accelerators of a pool.
+    pub(super) fn holders(&self, pool: &Text) -> Holders {
+        let mut holders = Holders::default();
+        let sure = self.sure_accounts();
+        for entry in self.live().filter(|entry| entry.job.pool == *pool) {
+            let held = entry.units.iter().filter(|(_, unit)| {
+                matches!(unit.phase, Phase::Running(_) | Phase::Reserved(_))
+            });
+            let held = held.map(|(key, unit)| {
+                let each = entry.job.steps[key.step].resources.accelerators;
+                each * unit.members().count() as i64
+            });
+            let held: i64 = held.sum();
+            match entry.job.priority {
+                0 if sure.contains(&entry.job.account) => {
+                    holders.within += held;
+                }
+                0 => holders.lent += held,
+                _ => holders.lower += held,
+            }
+        }
+        holders
+    }
+}
--- a/src/graph/preempt.rs
+++ b/src/graph/preempt.rs
@@ -18,11 +18,9 @@
 use crate::graph::AgentId;
 use crate::graph::Book;
 use crate::graph::Id;
-use crate::graph::Job;
 use crate::graph::Moment;
 use crate::graph::Place;
 use crate::graph::Resources;
-use crate::graph::Step;
 use crate::graph::Text;
 use crate::graph::UnitKey;
 
@@ -165,7 +163,9 @@
             return false;
         };
         let most = self.most_lost(id, key, request, now);
-        if eviction.cost > most && !self.is_guaranteed(request) {
+        let entry = self.jobs.get(id);
+        let guaranteed = entry.is_some_and(|entry| self.is_guaranteed(entry));
+        if eviction.cost > most && !guaranteed {
             victims.dear = Some(eviction.cost);
             return false;
         }
@@ -201,23 +201,6 @@
         price::limit(&self.terms.policy, &stake)
     }
 
-    /// Returns whether all urgent work of a unit's account fits into what
-    /// the account is guaranteed.
-    fn is_guaranteed(&self, request: &Request) -> bool {
-        let Some(entry) = self.jobs.get(&request.id) else {
-            return false;
-        };
-        let account = &entry.job.account;
-        let urgent = self.live().filter(|other| {
-            !other.over()
-                && other.job.priority == 0
-                && other.job.account == *account
-        });
-        let needed: i64 = urgent.map(|other| accelerators(&other.job)).sum();
-        let guaranteed = self.guarantees.get(account).copied();
-        needed <= guaranteed.unwrap_or(0)
-    }
-
     fn victims(&self, request: &Request, now: Moment) -> Vec<Victim> {
         let mut victims = Vec::new();
         for entry in self.live() {
@@ -247,13 +230,6 @@
     }
 }
 
-/// Returns the most accelerators that a step of a job takes.
-pub(super) fn accelerators(job: &Job) -> i64 {
-    let step =
-        |step: &Step| i64::from(step.replicas) * step.resources.accelerators;
-    job.steps.iter().map(step).max().unwrap_or(0)
-}
-
 /// Returns how many more units of a step may be stopped, for the steps of
 /// which only so many may be away.
 fn spared(entry: &Entry) -> BTreeMap<(u32, usize), u32> {
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -351,6 +351,7 @@
             waited: now.now.saturating_duration_since(ready),
             slack: self.slack(entry, key, now),
             expected: self.expect(entry, key.step),
+            standing: self.standing(entry, key, now),
         };
         self.note(placed);
     }
--- a/src/graph/shortage.rs
+++ b/src/graph/shortage.rs
@@ -6,6 +6,7 @@
 use crate::graph::book::Worker;
 use crate::graph::place::Request;
 use crate::graph::Book;
+use crate::graph::Holders;
 use crate::graph::Moment;
 use crate::graph::Resources;
 
@@ -54,6 +55,8 @@
     /// The core-seconds that stopping others would throw away, if that makes
     /// room.
     pub dear: Option<f64>,
+    /// Who holds the pool's accelerators.
+    pub holders: Holders,
 }
 
 impl Book {
@@ -100,6 +103,7 @@
             free,
             fits,
             dear,
+            holders: self.holders(&request.pool),
         }
     }
 }
--- a/src/graph/unit.rs
+++ b/src/graph/unit.rs
@@ -37,6 +37,15 @@
     pub seen: Option<Instant>,
 }
 
+/// What a unit was last seen to wait for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Told {
+    pub what: Wait,
+    /// Whether it was within its account's guarantee.
+    pub within: bool,
+    pub at: Instant,
+}
+
 /// Where a unit stands.
 #[derive(Clone, Debug, Default)]
 pub(super) enum Phase {
@@ -120,8 +129,7 @@
     /// Where it has failed.
     pub avoid: Vec<AgentId>,
     pub stop: Option<Why>,
-    /// What it was last seen to wait for, and when.
-    pub waits: Option<(Wait, Instant)>,
+    pub waits: Option<Told>,
     pub any_done: bool,
     /// What is known of why its run broke.
     pub cause: Cause,
--- a/src/graph/urgency.rs
+++ b/src/graph/urgency.rs
@@ -7,7 +7,6 @@
 //! what callers could earn (100 days of `landingvalve-experiment`). What an
 //! account is guaranteed goes first however late it is.
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
@@ -15,8 +14,8 @@
 use crate::graph::entry::Entry;
 use crate::graph::place::fill;
 use crate::graph::place::Request;
-use crate::graph::preempt::accelerators;
 use crate::graph::preempt::cores;
+use crate::graph::unit::Told;
 use crate::graph::Book;
 use crate::graph::Decision;
 use crate::graph::Id;
@@ -99,25 +98,6 @@
         (latest, due + objective * USELESS)
     }
 
-    /// Returns the accounts whose urgent work fits into what they are
-    /// guaranteed: it is begun in time, however late it is otherwise.
-    pub(super) fn sure_accounts(&self) -> BTreeSet<Text> {
-        let mut needed: BTreeMap<&Text, i64> = BTreeMap::new();
-        let urgent = self
-            .live()
-            .filter(|entry| !entry.over() && entry.job.priority == 0);
-        for entry in urgent {
-            let most = accelerators(&entry.job);
-            *needed.entry(&entry.job.account).or_default() += most;
-        }
-        let fits = |(account, needed): &(&Text, i64)| {
-            let guaranteed = self.guarantees.get(*account).copied();
-            *needed <= guaranteed.unwrap_or(0)
-        };
-        let sure = needed.into_iter().filter(fits);
-        sure.map(|(account, _)| account.clone()).collect()
-    }
-
     /// Returns within which a job is to end, as far as its runs tell.
     pub(super) fn objective(&self, entry: &Entry) -> Duration {
         let stretch = entry.job.stretch.max(1.0);
@@ -158,7 +138,10 @@
         let Some(unit) = entry.units.get(key) else {
             return;
         };
-        if unit.waits.is_some_and(|(_, at)| now.now < at + LOOK_AGAIN) {
+        if unit
+            .waits
+            .is_some_and(|told| now.now < told.at + LOOK_AGAIN)
+        {
             return;
         }
         let expected = self.expect(entry, key.step);
@@ -170,19 +153,27 @@
             false if fill(&request, candidates).is_some() => Wait::Rack,
             false => Wait::Room,
         };
-        let news = unit.waits.is_none_or(|(told, _)| told != what);
+        let standing = self.standing(entry, key, now);
+        let within = standing.is_some_and(|standing| standing.within);
+        let told = unit.waits.filter(|told| told.within == within);
+        let news = told.is_none_or(|told| told.what != what);
         let lacks = news && what != Wait::Worker;
         let told = Decision::Waits {
             of: entry.subject(key),
             what,
             slack: self.slack(entry, key, now),
             workers,
+            standing,
             shortage: lacks.then(|| self.shortage(&request, dear, now)),
         };
         let entry = self.jobs.get_mut(id);
         let unit = entry.and_then(|e| e.units.get_mut(key));
         if let Some(unit) = unit {
-            unit.waits = Some((what, now.now));
+            unit.waits = Some(Told {
+                what,
+                within,
+                at: now.now,
+            });
         }
         if news {
             self.note(told);
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -63,6 +63,10 @@
         "landingvalve_wait_seconds",
         "Waiting of a unit until it was placed.",
     ),
+    about(
+        "landingvalve_owed_seconds",
+        "The same of first runs within a guarantee, by whether it was late.",
+    ),
     about(
         "landingvalve_run_seconds",
         "Length of runs that ended, by how.",
@@ -161,6 +165,8 @@
     pub decisions: Counter<u64>,
     /// Waiting of units that were placed, in seconds.
     pub wait: Histogram<f64>,
+    /// Waiting of first runs within a guarantee, in seconds.
+    pub owed: Histogram<f64>,
     /// Runs that ended, in seconds.
     pub run: Histogram<f64>,
     /// Jobs that ended, in seconds.
@@ -226,6 +232,7 @@
             store: histogram("landingvalve_store_seconds"),
             decisions: counter("landingvalve_decisions"),
             wait: histogram("landingvalve_wait_seconds"),
+            owed: histogram("landingvalve_owed_seconds"),
             run: histogram("landingvalve_run_seconds"),
             job: histogram("landingvalve_job_seconds"),
             order: histogram("landingvalve_order_seconds"),
