What an account is guaranteed goes first

Callers saw: urgent work within a guarantee waited while room that came free went to urgent work beyond guarantees that had less time left. Cause: whether an account's urgent work was within its guarantee was asked of the account as a whole, and such work stood in one class with all urgent work that can be in time, by the latest start. Now it is asked of each job, once a pass: of each account the first jobs that fit, in order of acceptance; they are a class of their own, before all others. A job that is within stays so whatever its account hands in afterwards.

--- a/src/graph/book.rs
+++ b/src/graph/book.rs
@@ -148,6 +148,8 @@
     pub(super) open: BTreeSet<Id>,
     /// The accelerators that each client account is guaranteed.
     pub(super) guarantees: BTreeMap<Text, i64>,
+    /// The urgent jobs that are within them, as of the last pass.
+    pub(super) promised: BTreeSet<Id>,
     pub(super) history: History,
     /// When the last urgent job of each pool was accepted.
     pub(super) urgent: BTreeMap<Text, Instant>,
@@ -182,6 +184,7 @@
             jobs: BTreeMap::new(),
             open: BTreeSet::new(),
             guarantees: BTreeMap::new(),
+            promised: BTreeSet::new(),
             history: History::default(),
             urgent: BTreeMap::new(),
             leave: BTreeMap::new(),
--- a/src/graph/guarantee.rs
+++ b/src/graph/guarantee.rs
@@ -67,21 +67,30 @@
         self.guarantees.get(account).copied().unwrap_or(0)
     }
 
-    /// Returns the accounts whose urgent work fits into what they are
-    /// guaranteed: it is begun in time, however late it is otherwise.
-    pub(super) fn sure_accounts(&self) -> BTreeSet<Text> {
-        let needed = self.needed().into_iter();
-        let sure =
-            needed.filter(|(of, needed)| *needed <= self.guaranteed(of));
-        sure.map(|(account, _)| account.clone()).collect()
+    /// Finds the urgent jobs that are within what their accounts are
+    /// guaranteed: of each account the first that fit into it, in the order
+    /// in which they were accepted. What lies beyond borrows.
+    pub(super) fn promise(&mut self) {
+        let mut urgent: Vec<&Entry> = self.urgent_jobs().collect();
+        urgent.sort_by_key(|entry| (entry.accepted, &entry.job.id));
+        let mut promised: BTreeMap<&Text, i64> = BTreeMap::new();
+        let mut within = BTreeSet::new();
+        for entry in urgent {
+            let account = &entry.job.account;
+            let taken = promised.entry(account).or_default();
+            let needed = accelerators(&entry.job);
+            if *taken + needed <= self.guaranteed(account) {
+                *taken += needed;
+                within.insert(entry.job.id.clone());
+            }
+        }
+        self.promised = within;
     }
 
-    /// Returns whether a job is within what its account is guaranteed.
-    pub(super) fn is_guaranteed(&self, entry: &Entry) -> bool {
-        let account = &entry.job.account;
-        let of = self.urgent_jobs().filter(|e| e.job.account == *account);
-        let needed: i64 = of.map(|e| accelerators(&e.job)).sum();
-        needed <= self.guaranteed(account)
+    /// Returns whether a job was within what its account is guaranteed when
+    /// the present pass began.
+    pub(super) fn is_promised(&self, entry: &Entry) -> bool {
+        self.promised.contains(&entry.job.id)
     }
 
     /// Returns by when a unit has to begin that is within its account's
@@ -117,7 +126,7 @@
         Some(Standing {
             guaranteed: self.guaranteed(account),
             needed: self.needed().get(account).copied().unwrap_or(0),
-            within: self.is_guaranteed(entry),
+            within: self.is_promised(entry),
             left: left as i64 - past as i64,
         })
     }
@@ -125,7 +134,6 @@
     /// Returns who holds the accelerators of a pool.
     pub(super) fn holders(&self, pool: &Text) -> Holders {
         let mut holders = Holders::default();
-        let sure = self.sure_accounts();
         for entry in self.live().filter(|entry| entry.job.pool == *pool) {
             let held = entry.units.iter().filter(|(_, unit)| {
                 matches!(unit.phase, Phase::Running(_) | Phase::Reserved(_))
@@ -136,9 +144,7 @@
             });
             let held: i64 = held.sum();
             match entry.job.priority {
-                0 if sure.contains(&entry.job.account) => {
-                    holders.within += held;
-                }
+                0 if self.is_promised(entry) => holders.within += held,
                 0 => holders.lent += held,
                 _ => holders.lower += held,
             }
--- a/src/graph/preempt.rs
+++ b/src/graph/preempt.rs
@@ -164,7 +164,7 @@
         };
         let most = self.most_lost(id, key, request, now);
         let entry = self.jobs.get(id);
-        let guaranteed = entry.is_some_and(|entry| self.is_guaranteed(entry));
+        let guaranteed = entry.is_some_and(|entry| self.is_promised(entry));
         if eviction.cost > most && !guaranteed {
             victims.dear = Some(eviction.cost);
             return false;
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -51,6 +51,7 @@
         self.leave(now);
         self.take_back(now);
         self.open_units(now);
+        self.promise();
         self.start_reserved(now);
         // Where one task finds no room, its like find none either.
         let mut without = BTreeSet::new();
@@ -231,7 +232,6 @@
 
     fn waiting(&self, now: Moment) -> Vec<Waiting> {
         let mut waiting = Vec::new();
-        let sure = self.sure_accounts();
         for id in &self.open {
             let Some(entry) = self.jobs.get(id) else {
                 continue;
@@ -253,7 +253,7 @@
                 on_trial |= suspect;
                 let rank = *urgency
                     .entry(key.time)
-                    .or_insert_with(|| self.rank(entry, key, &sure, now));
+                    .or_insert_with(|| self.rank(entry, key, now));
                 waiting.push(Waiting {
                     id: id.clone(),
                     key: *key,
--- a/src/graph/urgency.rs
+++ b/src/graph/urgency.rs
@@ -7,7 +7,6 @@
 //! what callers could earn (100 days of `landingvalve-experiment`). What an
 //! account is guaranteed goes first however late it is.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -20,7 +19,6 @@
 use crate::graph::Decision;
 use crate::graph::Id;
 use crate::graph::Moment;
-use crate::graph::Text;
 use crate::graph::UnitKey;
 use crate::graph::Wait;
 
@@ -33,6 +31,8 @@
 /// What kind of unit waits, what goes first in front.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Class {
+    /// Urgent, and within its account's guarantee.
+    Promised,
     /// Urgent, and in time if it starts soon.
     Urgent,
     /// Urgent, and late all the same.
@@ -54,20 +54,21 @@
 }
 
 impl Book {
-    /// Returns where a unit stands among those that wait; the urgent work of
-    /// `sure` accounts is within what they are guaranteed.
+    /// Returns where a unit stands among those that wait.
     pub(super) fn rank(
         &self,
         entry: &Entry,
         key: &UnitKey,
-        sure: &BTreeSet<Text>,
         now: Moment,
     ) -> Rank {
         let job = &entry.job;
         let (latest, hopeless) = self.due(entry, key);
         let first = !self.terms.policy.late_last || now.now <= latest;
         let class = match job.priority {
-            0 if first || sure.contains(&job.account) => Class::Urgent,
+            // Beside other urgent work it waits behind borrowers that are in
+            // a greater hurry, past the time in which it is to begin.
+            0 if self.is_promised(entry) => Class::Promised,
+            0 if first => Class::Urgent,
             0 => Class::Late,
             _ if now.now >= hopeless => Class::Hopeless,
             _ => Class::Other,
