A guaranteed gang waits for a rack only while it can still be in time

Callers saw: a gang within its account's guarantee waited past its bound for room in one rack while whole workers stood idle in two. Cause: a gang that is slow across racks waits for one as long as a far run costs more than its length, and neither that nor the choice of what is stopped knew by when it has to begin. From the last moment on in which stops elsewhere help (its bound, less a stop, a write and the orders) all racks will do.

--- a/src/graph/guarantee.rs
+++ b/src/graph/guarantee.rs
@@ -2,9 +2,11 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 use std::time::Instant;
 
 use crate::graph::entry::Entry;
+use crate::graph::place::Request;
 use crate::graph::unit::Phase;
 use crate::graph::Book;
 use crate::graph::Job;
@@ -13,6 +15,10 @@
 use crate::graph::Text;
 use crate::graph::UnitKey;
 
+/// What it takes beside stops until a unit begins that was given room: the
+/// write of its run, and the orders.
+const ORDER: Duration = Duration::from_millis(500);
+
 /// How an urgent unit stands to what its account is guaranteed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Standing {
@@ -108,6 +114,16 @@
         since + self.terms.reclaim
     }
 
+    /// Returns when room for a unit within its account's guarantee has to be
+    /// decided on, so that it begins in time though others are stopped for it.
+    pub(super) fn last_call(&self, request: &Request) -> Option<Instant> {
+        let entry = self.jobs.get(&request.id)?;
+        let by = self.owed(entry, &request.key);
+        let takes = self.terms.stop + ORDER;
+        let last = by.checked_sub(takes).unwrap_or(by);
+        self.is_promised(entry).then_some(last)
+    }
+
     /// Returns how a unit stands to what its account is guaranteed, if it is
     /// urgent.
     pub(super) fn standing(
--- a/src/graph/place.rs
+++ b/src/graph/place.rs
@@ -230,9 +230,14 @@
     fn near_until(&self, request: &Request) -> Instant {
         let dear = request.expected.mul_f64((self.terms.far - 1.0).max(0.0));
         let wait = dear.mul_f64(self.terms.policy.near);
-        match self.mostly_idle(&request.pool) {
+        let until = match self.mostly_idle(&request.pool) {
             true => request.ready + wait.min(LONGEST_IDLE),
             false => request.ready + wait,
+        };
+        match self.last_call(request) {
+            // Later there is no time left for stops elsewhere.
+            Some(last) => until.min(last),
+            None => until,
         }
     }
 
