--- a/tests/it/guarantees.rs
+++ b/tests/it/guarantees.rs
@@ -116,6 +116,38 @@
     assert_eq!((site.running("job"), site.running("borrower")), (1, 0));
 }
 
+#[test]
+fn room_kept_for_what_is_promised_is_taken_by_nobody() {
+    // Of a rack one worker is lent and one empty, and much is empty elsewhere.
+    let names = ["w1", "w2", "w3", "w4", "w5", "w6"];
+    let racks = ["r1", "r1", "r3", "r4", "r5", "r6"];
+    let workers: Vec<(&str, &'static str)> =
+        names.into_iter().zip(racks).collect();
+    let mut site = site(&workers, 16);
+    let mut large = step(1, 8, false);
+    large.resources.memory = 2 * site.workers[1].capacity.memory;
+    site.submit(of("other", "waits", 1, large, &site));
+    site.submit(of("other", "lent", 0, step(1, 8, false), &site));
+    site.live(Duration::from_millis(2500));
+    assert_eq!(site.workers[0].running.len(), 1);
+    site.submit(of("sure", "job", 0, step(2, 8, true), &site));
+    site.step();
+    // The stop takes its time, and another unit has waited long for what the
+    // empty worker has now.
+    site.workers[1].capacity.memory *= 2;
+    for _ in 0..2 {
+        for at in 0..site.workers.len() {
+            let report = site.workers[at].report();
+            site.book.report(report, site.now);
+        }
+        site.step();
+        site.write();
+        site.pass(Duration::from_millis(500));
+    }
+    site.settle();
+    assert_eq!((site.running("job"), site.running("waits")), (2, 0));
+}
+
 #[test]
 fn work_that_is_sure_only_later_begins_in_time() {
     // The account is over its guarantee until its first gang ends, and a
