Room kept for what is guaranteed is passed over by nobody

Callers saw: a gang within its guarantee, for which room was kept and a run stopped, began only 8.1 s and 5.6 s later. Cause: a unit that has waited while less than half of a pool is in use may take room that is kept but empty, so that units do not wait for each other's rooms; it took the empty half of what was kept for the gang, which had to wait until that ended. While anything is kept for guaranteed work, which is for a stop at most, nobody does.

--- a/src/graph/guarantee.rs
+++ b/src/graph/guarantee.rs
@@ -172,6 +172,16 @@
         since + self.terms.reclaim
     }
 
+    /// Returns whether room of a pool is kept for units within guarantees.
+    pub(super) fn keeps_promised(&self, pool: &Text) -> bool {
+        let promised = self.promised.iter().filter_map(|id| self.jobs.get(id));
+        let mut here = promised.filter(|entry| entry.job.pool == *pool);
+        here.any(|entry| {
+            let mut units = entry.units.values();
+            units.any(|unit| matches!(unit.phase, Phase::Reserved(_)))
+        })
+    }
+
     /// Returns when room for a unit within its account's guarantee has to be
     /// decided on, so that it begins in time though others are stopped for it.
     pub(super) fn last_call(&self, request: &Request) -> Option<Instant> {
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -169,7 +169,7 @@
         let mut request = Request::new(entry, key, unit, expected);
         // While most is empty, whoever has waited longest takes of it, or
         // units would wait for each other's rooms.
-        request.past_kept = self.mostly_idle(&entry.job.pool);
+        request.past_kept = self.may_pass_kept(&entry.job.pool);
         let Some(places) = self.place(&request, now) else {
             return false;
         };
@@ -284,7 +284,7 @@
         let expected = self.expect(entry, waiting.key.step);
         let mut request = Request::new(entry, &waiting.key, unit, expected);
         request.past_kept = now.now >= unit.ready + LONGEST_IDLE
-            && self.mostly_idle(&entry.job.pool);
+            && self.may_pass_kept(&entry.job.pool);
         if let Some(places) = self.place(&request, now) {
             self.give_run(&waiting.id, &waiting.key, places, now);
             return true;
@@ -297,6 +297,13 @@
         }
     }
 
+    /// Returns whether units may use room that is kept but empty: while most
+    /// of a pool is, and none of it is kept for what an account is guaranteed,
+    /// which would then wait for them to end.
+    fn may_pass_kept(&self, pool: &Text) -> bool {
+        self.mostly_idle(pool) && !self.keeps_promised(pool)
+    }
+
     /// Returns whether less than half of a pool's accelerators are in use.
     pub(super) fn mostly_idle(&self, pool: &Text) -> bool {
         let open = |w: &&Worker| !self.closed.contains(&w.hall);
