Guaranteed work gets other room where others have begun in what is kept for it

Callers saw: a gang that came within its account's guarantee while room was kept for it began 5.5 s after that, 3.7 s past its bound. Cause: it had room kept while it still borrowed; others began in that room, which they may pass over then; and what has room kept was not decided on anew but waited until they had ended. Now a unit within its guarantee gives up room in which others have begun that nothing stops, and is decided on in the same pass.

--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -144,6 +144,10 @@
                     let places = self.unreserve(&id, &key);
                     self.give_run(&id, &key, places, now);
                 }
+                // Decided anew in this pass.
+                false if self.is_overdue(&id, &key) => {
+                    self.unreserve(&id, &key);
+                }
                 false if without.contains(&like) => {
                     self.give_up_lost(&id, &key, now);
                 }
@@ -221,6 +225,44 @@
         })
     }
 
+    /// Returns whether a unit is within a guarantee, and others have begun in
+    /// the room that is kept for it: it would wait until they end, past the
+    /// time in which it is to begin.
+    fn is_overdue(&self, id: &Id, key: &UnitKey) -> bool {
+        let Some(entry) = self.jobs.get(id) else {
+            return false;
+        };
+        let Some(unit) = entry.units.get(key) else {
+            return false;
+        };
+        if !self.is_promised(entry) {
+            return false;
+        }
+        let charge = entry.job.steps[key.step].charge();
+        let needs = needs(unit, &charge);
+        let mut comes: BTreeMap<&Place, Resources> = BTreeMap::new();
+        for other in self.live() {
+            let stopped = other.units.iter().filter(|(_, unit)| {
+                matches!(unit.phase, Phase::Running(_)) && unit.stop.is_some()
+            });
+            for (key, unit) in stopped {
+                let charge = other.job.steps[key.step].charge();
+                for member in unit.members() {
+                    let room = comes.entry(&member.place).or_default();
+                    *room = room.plus(&charge);
+                }
+            }
+        }
+        needs.iter().any(|(place, need)| {
+            let comes = comes.get(place).copied().unwrap_or_default();
+            let worker = self.workers.get(&place.agent);
+            !worker.is_some_and(|worker| {
+                worker.life == place.life
+                    && worker.empty().plus(&comes).holds(need)
+            })
+        })
+    }
+
     /// Returns whether the room that is kept for a unit would be enough once
     /// nothing else is left in it: its workers may have shrunk.
     fn could_have_room(&self, unit: &Unit, charge: &Resources) -> bool {
