Any run of an account may end before what waits has to begin

What counts as over by then was told by half of what is expected of runs; predictions are often off by more, runs fail, and callers cancel. Now any run may be, and only what has yet to begin is not.

--- a/src/graph/guarantee.rs
+++ b/src/graph/guarantee.rs
@@ -20,9 +20,6 @@
 /// write of its run, and the orders.
 const ORDER: Duration = Duration::from_millis(500);
 
-/// The share of what is expected of a run in which it may end.
-const AHEAD: f64 = 0.5;
-
 /// How an urgent unit stands to what its account is guaranteed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Standing {
@@ -115,40 +112,23 @@
         let others = self.urgent_jobs().filter(|other| {
             other.job.account == *account
                 && other.job.id != entry.job.id
-                && !self.may_be_over(other, by, now)
+                && !self.may_be_over(other)
         });
         let others: i64 = others.map(|other| accelerators(&other.job)).sum();
         others + accelerators(&entry.job) <= self.guaranteed(account)
     }
 
-    /// Returns whether all of a job may have ended by then.
-    fn may_be_over(&self, entry: &Entry, by: Instant, now: Moment) -> bool {
+    /// Returns whether all of a job may be over within a stop: nothing of it
+    /// has yet to begin.
+    fn may_be_over(&self, entry: &Entry) -> bool {
         let steps = 0..entry.job.steps.len();
         let mut open = steps.filter(|step| !entry.step_done(0, *step));
-        let mut units = entry.units.iter();
+        let mut units = entry.units.values();
         entry.job.repeat.is_none()
             && open.all(|step| entry.opened.contains(&(0, step)))
-            && units.all(|(key, _)| self.may_end(entry, key, by, now))
-    }
-
-    /// Returns whether a unit's run may have ended by then.
-    fn may_end(
-        &self,
-        entry: &Entry,
-        key: &UnitKey,
-        by: Instant,
-        now: Moment,
-    ) -> bool {
-        let members = match &entry.units[key].phase {
-            Phase::Done => return true,
-            Phase::Waiting | Phase::Reserved(_) => return false,
-            Phase::Running(members) => members,
-        };
-        members.iter().all(|member| {
-            let end = self.expected_end(entry, key, member, now);
-            let left = end.saturating_duration_since(now.now);
-            now.now + left.mul_f64(AHEAD) <= by
-        })
+            && units.all(|unit| {
+                matches!(unit.phase, Phase::Running(_) | Phase::Done)
+            })
     }
 
     /// Returns whether a job was within what its account is guaranteed when
