--- a/src/graph/policy.rs
+++ b/src/graph/policy.rs
@@ -35,15 +35,13 @@
     /// for urgent work; 0 leaves none.
     pub spare: f64,
     /// The share of what a far run costs more that is waited for a near
-    /// place; 0 waits for none. All of it earns 0.012 +- 0.003 more of what
-    /// callers could than half (100 days of `landingvalve-experiment`); more
-    /// than all would wait longer than it saves.
+    /// place; 0 waits for none, more than 1 longer than it saves.
     pub near: f64,
     /// The share of a pool's workers on which room is kept for units that
     /// have waited; 0 keeps none.
     pub kept: f64,
     /// The core-seconds that are thrown away for any urgent unit beyond its
-    /// account's guarantee. Of 30 to 1000, all earned the same.
+    /// account's guarantee.
     pub most_lost: f64,
     /// How many times its own work may be thrown away for an urgent unit that
     /// would then be in time, if that is more.
--- a/src/graph/preempt.rs
+++ b/src/graph/preempt.rs
@@ -66,9 +66,8 @@
 }
 
 /// What could be stopped for urgent units of a pool in one pass. Gone through
-/// once a pass: a burst of 40 urgent gangs on 240 workers, each of which went
-/// through it again for every rack, made a pass of 73 ms of a whole core, and
-/// jobs were taken in a second late (`cargo bench --bench pass -- burst`).
+/// once a pass: in a burst of urgent gangs, each of which went through it again
+/// for every rack, passes were so long that jobs were taken in late.
 #[derive(Debug, Default)]
 pub(super) struct Victims {
     /// Whose they are, once they have been gone through, and whether for
--- a/src/graph/reserve.rs
+++ b/src/graph/reserve.rs
@@ -5,10 +5,7 @@
 //! nothing new is placed there until it has begun.
 //!
 //! Not before it has no time left: room kept after 1.5 s for gangs with 17 s
-//! stood empty while others ran out of time. With the order and the wait for
-//! racks that stand, callers earned 0.027 +- 0.004 more of what they could so,
-//! 0.018 +- 0.004 more with room kept after 1.5 s (the same 100 days of
-//! `landingvalve-experiment`, against one earlier way).
+//! stood empty while others ran out of time.
 
 use std::time::Duration;
 use std::time::Instant;
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -135,7 +135,7 @@
         kept.sort();
         // Where one task finds no room elsewhere, its like find none either:
         // hundreds of tasks of a wide step may have room kept, and looking
-        // for each took nine tenths of a pass.
+        // for each would be most of a pass.
         let mut without = BTreeSet::new();
         for (_, _, id, key) in kept {
             let like = (id.clone(), key.time, key.step);
--- a/src/graph/settle.rs
+++ b/src/graph/settle.rs
@@ -288,9 +288,7 @@
             unit.phase = Phase::Done;
             return;
         }
-        // The next run avoids what the last one failed on: to begin it at
-        // once earned 0.016 +- 0.012 of worth in 20 paired plays of 240
-        // workers.
+        // The next run avoids what the last one failed on: it need not wait.
         let again = match unit.cut {
             Cut::Lost => Duration::ZERO,
             Cut::Stopped | Cut::Refused => AGAIN,
--- a/src/graph/urgency.rs
+++ b/src/graph/urgency.rs
@@ -3,9 +3,8 @@
 //! The load that the order answers: bursts of twice the urgent gangs that
 //! there is room for. By the latest start alone those whose time is past go
 //! first, and each takes the room of one that could be in time, until all are
-//! late. Behind those, the smallest first, they cost 0.009 +- 0.003 less of
-//! what callers could earn (100 days of `landingvalve-experiment`). What an
-//! account is guaranteed goes first however late it is.
+//! late. So they go behind those, the smallest first. What an account is
+//! guaranteed goes first however late it is.
 
 use std::time::Duration;
 use std::time::Instant;
