Tell why a start waits; hold what a start without answer may hold back

Cause under watch: an agent keeps a start waiting for three reasons, and no line told which.

Change: the agent says `a start waits` with the reason and whether this run was tried before, once for each reason in a row, and counts it (landingvalve_starts_waiting). A test holds the cause without chance: looks have no answer once a start has had none, and the other run of the same order must have begun all the same.

--- a/src/cell/member/act.rs
+++ b/src/cell/member/act.rs
@@ -33,11 +33,33 @@
     Start(Call, Box<Start>, WorkerTime),
     Stop(Call),
     /// There is no leave to start yet.
-    Wait,
+    Wait(Wait),
     /// The order was withdrawn, or is done.
     Nothing,
 }
 
+/// Why a start waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wait {
+    /// The last look at the worker had no answer, or there was none yet.
+    Unknown,
+    /// A start has had no answer, and no look since.
+    Doubted,
+    /// No planner lets the worker's tasks go on.
+    Ungranted,
+}
+
+impl Wait {
+    /// Returns the word for it in logs and metrics.
+    fn word(self) -> &'static str {
+        match self {
+            Wait::Unknown => "worker not known",
+            Wait::Doubted => "a start had no answer",
+            Wait::Ungranted => "no grant",
+        }
+    }
+}
+
 impl<W: Worker, S: Store> Member<W, S> {
     /// Carries an order out until it is done or withdrawn.
     pub(super) fn act(&self, key: Key) {
@@ -76,13 +98,17 @@
     async fn carry_out(&self, key: &Key) {
         // Whether a start had no answer: it may be carried out yet.
         let mut unsure = false;
+        let mut waited = None;
         loop {
             let done = match self.next(key, unsure) {
                 Next::Start(call, start, expires) => {
                     self.start(&call, &start, expires, key, &mut unsure).await
                 }
                 Next::Stop(call) => self.stop(&call, key).await,
-                Next::Wait => false,
+                Next::Wait(why) => {
+                    self.tell_wait(key, why, unsure, &mut waited);
+                    false
+                }
                 Next::Nothing => return,
             };
             if done {
@@ -122,17 +148,34 @@
         // birth that would begin the same run again. Other runs have begun
         // nowhere, and are not held back by a start without answer.
         let doubted = unsure && known.doubted;
-        let expires = target
-            .filter(|_| known.is_known() && !doubted)
-            .and_then(|target| known.time_at(target));
+        let expires = target.and_then(|target| known.time_at(target));
         match (known.starts.get(key), expires) {
+            _ if !known.is_known() => Next::Wait(Wait::Unknown),
+            _ if doubted => Next::Wait(Wait::Doubted),
             (Some(start), Some(expires)) => {
                 let start = Box::new(start.clone());
                 known.leased = known.leased.max(target);
                 Next::Start(call, start, expires)
             }
-            _ => Next::Wait,
+            _ => Next::Wait(Wait::Ungranted),
+        }
+    }
+
+    /// Tells that a start waits, once for each reason in a row.
+    fn tell_wait(
+        &self,
+        key: &Key,
+        why: Wait,
+        unsure: bool,
+        waited: &mut Option<Wait>,
+    ) {
+        if waited.replace(why) == Some(why) {
+            return;
         }
+        metrics::get().waits.add(1, &[label("why", why.word())]);
+        slog::info!(self.0.config.log, "agent: a start waits";
+            "task" => %key.0, "run" => key.1, "why" => why.word(),
+            "tried" => unsure);
     }
 
     async fn start(
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -80,6 +80,10 @@
         "Time of an order to a worker, by kind and outcome.",
     ),
     about("landingvalve_looks", "Looks at the worker, by outcome."),
+    about(
+        "landingvalve_starts_waiting",
+        "Starts that an agent has kept waiting, by reason.",
+    ),
     about(
         "landingvalve_limited",
         "What was turned away at a limit of this process, by limit.",
@@ -175,6 +179,8 @@
     pub order: Histogram<f64>,
     /// Looks at the worker.
     pub looks: Counter<u64>,
+    /// Starts that were kept waiting.
+    pub waits: Counter<u64>,
     /// What was turned away at a limit of this process.
     pub limited: Counter<u64>,
     /// Calls of the store by way of another entry.
@@ -237,6 +243,7 @@
             job: histogram("landingvalve_job_seconds"),
             order: histogram("landingvalve_order_seconds"),
             looks: counter("landingvalve_looks"),
+            waits: counter("landingvalve_starts_waiting"),
             limited: counter("landingvalve_limited"),
             relayed: counter("landingvalve_relayed"),
             strange: counter("landingvalve_strange"),
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -305,6 +305,10 @@
     accelerators: Option<i64>,
     /// Whether it breaks off every look, and nothing else.
     hides: bool,
+    /// Whether looks have no answer once a start has had none, and how many
+    /// had none so far.
+    stalls: bool,
+    stalled: u32,
     /// Whether it breaks off every look after one that has shown an end.
     /// Answers nothing more once it has shown an end.
     mutes_once_shown: bool,
@@ -395,6 +399,16 @@
         self.lock().hides = hides;
     }
 
+    /// Leaves looks without answer once a start has had none.
+    pub fn stall_looks_after_a_loss(&self) {
+        self.lock().stalls = true;
+    }
+
+    /// Returns how many looks were left without answer so.
+    pub fn stalled(&self) -> u32 {
+        self.lock().stalled
+    }
+
     /// Breaks off every look after one that will have shown an end.
     pub fn show_once(&self) {
         self.lock().shows_once = true;
@@ -532,6 +546,14 @@
         }
     }
 
+    /// Returns whether a look has no answer.
+    fn stalls(&self) -> bool {
+        let mut tasks = self.lock();
+        let stalls = tasks.stalls && tasks.lost_starts > 0;
+        tasks.stalled += u32::from(stalls);
+        stalls
+    }
+
     pub fn end_all(&self, how: How) {
         let mut tasks = self.lock();
         for running in std::mem::take(&mut tasks.running) {
@@ -688,6 +710,9 @@
         self.speak().await?;
         let deadline = Instant::now() + wait.min(Duration::from_millis(50));
         loop {
+            if self.stalls() {
+                std::future::pending::<()>().await;
+            }
             {
                 let mut tasks = self.fenced(call)?;
                 tasks.acknowledged = noted;
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -21,6 +21,7 @@
 mod near;
 mod odd_jobs;
 mod order;
+mod ordered;
 mod pace;
 mod pages;
 mod plan_health;
--- /dev/null
+++ b/tests/it/ordered.rs
@@ -0,0 +1,195 @@
+//! Orders to an agent from a planner that the test plays.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use jsonrpsee::core::async_trait;
+use landingvalve::cell::claim::Holder;
+use landingvalve::cell::dial::Dial;
+use landingvalve::cell::dial::Peer;
+use landingvalve::cell::keys;
+use landingvalve::cell::member::Config;
+use landingvalve::cell::member::Member;
+use landingvalve::cell::relay::call::Call;
+use landingvalve::cell::relay::call::Reply;
+use landingvalve::cell::rpc::Answer;
+use landingvalve::graph::Orders;
+use landingvalve::graph::Report;
+use landingvalve::graph::Resources;
+use landingvalve::graph::Start;
+use landingvalve::graph::Task;
+use landingvalve::graph::Terms;
+use landingvalve::log;
+use landingvalve::store::Put;
+use landingvalve::store::Store;
+use landingvalve::wire::link::Error;
+use tokio::task::JoinHandle;
+
+use crate::cell::heartbeat;
+use crate::cell::Fake;
+use crate::cell::Memory;
+use crate::support::until;
+
+/// How often an agent is answered.
+const ANSWERS: Duration = Duration::from_millis(10);
+/// Above every revision of the store's.
+const TOKEN: i64 = 1000;
+
+#[derive(Default)]
+struct Data {
+    orders: Orders,
+    last: Option<Report>,
+}
+
+/// A planner that orders what it is told to.
+#[derive(Clone, Default)]
+struct Planner(Arc<Mutex<Data>>);
+
+impl Planner {
+    /// Returns a planner that holds the claim of a new store.
+    async fn new() -> (Planner, Memory) {
+        let store = Memory::default();
+        let holder = Holder {
+            process: "entry".to_owned(),
+            address: "entry".to_owned(),
+            life: "life".to_owned(),
+            cores: 1.0,
+        };
+        let holder = serde_json::to_vec(&holder).expect("encodes");
+        let put = Put::Value(keys::PLANNER.to_owned(), holder, 0);
+        store.swap(&[], vec![put]).await.expect("is written");
+        (Planner::default(), store)
+    }
+
+    /// Starts an agent that reports to it.
+    fn agent(&self, store: &Memory, worker: &Fake) -> Agent {
+        let config = Config {
+            agent: "agent".into(),
+            survival: Terms::default().survival,
+            lease: Duration::from_secs(6),
+            dial: Arc::new(self.clone()),
+            log: log::none(),
+        };
+        let member = Member::new(config, worker.clone(), store.clone());
+        let running = member.clone();
+        let task = tokio::spawn(async move { running.run().await });
+        Agent { member, task }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Data> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Orders runs to be started by a worker, and nothing else.
+    fn order(&self, worker: &Fake, starts: Vec<Start>) {
+        let life = Some(heartbeat(worker, 0).life);
+        self.lock().orders = Orders {
+            life,
+            starts,
+            ..Orders::default()
+        };
+    }
+
+    /// Returns once an agent has reported what `wanted` looks for.
+    async fn hears<T>(
+        &self,
+        what: &str,
+        wanted: impl Fn(&Report) -> Option<T>,
+    ) -> T {
+        let last = || async { self.lock().last.as_ref().and_then(&wanted) };
+        until(what, last).await
+    }
+}
+
+impl fmt::Debug for Planner {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Planner")
+    }
+}
+
+#[async_trait]
+impl Dial for Planner {
+    async fn dial(&self, _address: &str) -> Result<Arc<dyn Peer>, Error> {
+        Ok(Arc::new(self.clone()))
+    }
+}
+
+#[async_trait]
+impl Peer for Planner {
+    async fn sync(&self, report: Report) -> Result<Answer, Error> {
+        tokio::time::sleep(ANSWERS).await;
+        let mut data = self.lock();
+        data.last = Some(report);
+        Ok(Answer::Orders {
+            token: TOKEN,
+            granted: true,
+            orders: data.orders.clone(),
+        })
+    }
+
+    async fn store(&self, _call: Call) -> Result<Reply, Error> {
+        unreachable!("the store is reached")
+    }
+}
+
+struct Agent {
+    member: Member<Fake, Memory>,
+    task: JoinHandle<()>,
+}
+
+impl Agent {
+    fn kill(self) {
+        self.task.abort();
+    }
+}
+
+fn start(index: u32) -> Start {
+    Start {
+        task: Task {
+            job: "a".into(),
+            time: 0,
+            step: 0,
+            index,
+        },
+        run: 1,
+        spec: "spec".into(),
+        saved: None,
+        ticket: None,
+        charge: Resources::default(),
+    }
+}
+
+async fn is_known(planner: &Planner) {
+    let known = |report: &Report| report.worker.as_ref().map(|_| ());
+    planner.hears("the worker is known", known).await;
+}
+
+async fn lost(worker: &Fake, count: u32) {
+    let lost = || async { (worker.lost_starts() >= count).then_some(()) };
+    until("starts have no answer", lost).await;
+}
+
+/// Two runs were ordered together, and the start of one had no answer. The
+/// other one, of which nothing is in doubt, waited with it until the worker
+/// had answered a look; so the start that was lost next was the first one's
+/// repetition: `lost a.0.0.0 1, lost a.0.0.0 1, began a.0.0.1 1`.
+#[tokio::test]
+async fn a_start_without_answer_holds_back_no_other_run() {
+    let (planner, store) = Planner::new().await;
+    let worker = Fake::born();
+    let agent = planner.agent(&store, &worker);
+    agent.member.heartbeat(heartbeat(&worker, 1));
+    is_known(&planner).await;
+    worker.lose_starts(1);
+    worker.stall_looks_after_a_loss();
+    planner.order(&worker, vec![start(0), start(1)]);
+    lost(&worker, 1).await;
+    let stalls = || async { (worker.stalled() >= 2).then_some(()) };
+    until("two looks have no answer", stalls).await;
+    assert_eq!(worker.began().len(), 1, "{:?}", worker.began());
+    agent.kill();
+}
