Bar each run before telling that it will never begin

Callers could get work done twice. A start without answer may be carried out seconds later. That it had been sent was known only to the task that carried the order out: when the order was withdrawn and given again, or the agent had started again, the next refusal (a worker that leaves, or takes nothing) was told to the planner without barring the run. The planner begins another run elsewhere then, and the late start begins this one as well.

Cause: knowledge of a worker that lived in one order's task.

Now what may run is asked of the worker's state, and every run is barred before it is told that it will never begin; a refusal waited for a look of the worker anyway, so that this delays none.

--- a/src/cell/member/act.rs
+++ b/src/cell/member/act.rs
@@ -96,17 +96,15 @@
     }
 
     async fn carry_out(&self, key: &Key) {
-        // Whether a start had no answer: it may be carried out yet.
-        let mut unsure = false;
         let mut waited = None;
         loop {
-            let done = match self.next(key, unsure) {
+            let done = match self.next(key) {
                 Next::Start(call, start, expires) => {
-                    self.start(&call, &start, expires, key, &mut unsure).await
+                    self.start(&call, &start, expires, key).await
                 }
                 Next::Stop(call) => self.stop(&call, key).await,
                 Next::Wait(why) => {
-                    self.tell_wait(key, why, unsure, &mut waited);
+                    self.tell_wait(key, why, &mut waited);
                     false
                 }
                 Next::Nothing => return,
@@ -118,9 +116,8 @@
         }
     }
 
-    /// Returns the next call for an order, `unsure` once a start of it has
-    /// had no answer.
-    fn next(&self, key: &Key, unsure: bool) -> Next {
+    /// Returns the next call for an order.
+    fn next(&self, key: &Key) -> Next {
         let now = Instant::now();
         let mut state = self.lock();
         let target = state.target(self.0.config.lease, now);
@@ -146,8 +143,9 @@
         }
         // While looks fail the worker may be down, and be back as another
         // birth that would begin the same run again. Other runs have begun
-        // nowhere, and are not held back by a start without answer.
-        let doubted = unsure && known.doubted;
+        // nowhere, and are not held back by a start without answer. Asked of
+        // the worker's state: the order may have been withdrawn since.
+        let doubted = known.doubted && known.may_run(key);
         let expires = target.and_then(|target| known.time_at(target));
         match (known.starts.get(key), expires) {
             _ if !known.is_known() => Next::Wait(Wait::Unknown),
@@ -162,20 +160,18 @@
     }
 
     /// Tells that a start waits, once for each reason in a row.
-    fn tell_wait(
-        &self,
-        key: &Key,
-        why: Wait,
-        unsure: bool,
-        waited: &mut Option<Wait>,
-    ) {
+    fn tell_wait(&self, key: &Key, why: Wait, waited: &mut Option<Wait>) {
         if waited.replace(why) == Some(why) {
             return;
         }
+        let state = self.lock();
+        let worker = state.worker.as_ref();
+        let tried = worker.is_some_and(|known| known.may_run(key));
+        drop(state);
         metrics::get().waits.add(1, &[label("why", why.word())]);
         slog::info!(self.0.config.log, "agent: a start waits";
             "task" => %key.0, "run" => key.1, "why" => why.word(),
-            "tried" => unsure);
+            "tried" => tried);
     }
 
     async fn start(
@@ -184,16 +180,12 @@
         start: &Start,
         expires: WorkerTime,
         key: &Key,
-        unsure: &mut bool,
     ) -> bool {
         if self.leaves(call) {
-            let barred = !*unsure || self.bar(call, key).await;
-            return barred && self.refuse(call, key, Refusal::Leaving);
+            return self.turn_down(call, key, Refusal::Leaving).await;
         }
         if !self.has_room(call, start, key) {
-            // Barred, it stays undone when the room comes back.
-            let barred = self.bar(call, key).await;
-            return barred && self.refuse(call, key, Refusal::Room);
+            return self.turn_down(call, key, Refusal::Room).await;
         }
         let answer = self.0.worker.start(call, start, expires);
         let sent = Instant::now();
@@ -215,11 +207,7 @@
                 true
             }
             Ok(Err(Error::Refused(why))) => {
-                // Room comes back: what was refused for it is done elsewhere
-                // by then, and must not begin here by an old order.
-                let sure = !*unsure && why != Refusal::Room;
-                let barred = sure || self.bar(call, key).await;
-                barred && self.refuse(call, key, why)
+                self.turn_down(call, key, why).await
             }
             Ok(Err(Error::Late(time))) => {
                 let mut state = self.lock();
@@ -239,14 +227,21 @@
                 state.doubt(&call.life);
                 drop(state);
                 self.0.look.notify_one();
-                *unsure = true;
                 false
             }
         }
     }
 
     async fn stop(&self, call: &Call, key: &Key) -> bool {
-        self.bar(call, key).await && self.refuse(call, key, Refusal::Barred)
+        self.turn_down(call, key, Refusal::Barred).await
+    }
+
+    /// Tells that a run will not begin here, once it is barred: it is done
+    /// elsewhere then, and would be done twice by a start without answer,
+    /// also by one for an order of before or of an earlier agent, and by an
+    /// old order when room comes back.
+    async fn turn_down(&self, call: &Call, key: &Key, why: Refusal) -> bool {
+        self.bar(call, key).await && self.refuse(call, key, why)
     }
 
     /// Stops a run, or sees to it that it never begins; returns whether that
--- a/src/cell/member/known.rs
+++ b/src/cell/member/known.rs
@@ -161,6 +161,12 @@
         self.beat.capacity.holds(&taken)
     }
 
+    /// Returns whether a run has begun, or may have: its start may have had
+    /// no answer.
+    pub fn may_run(&self, key: &Key) -> bool {
+        self.begun.contains_key(key)
+    }
+
     /// Returns what is told of this life once it is over.
     pub(super) fn before(&self) -> Before {
         Before {
--- a/tests/it/ordered.rs
+++ b/tests/it/ordered.rs
@@ -13,6 +13,7 @@
 use landingvalve::cell::dial::Peer;
 use landingvalve::cell::keys;
 use landingvalve::cell::member::Config;
+use landingvalve::cell::member::Heartbeat;
 use landingvalve::cell::member::Member;
 use landingvalve::cell::relay::call::Call;
 use landingvalve::cell::relay::call::Reply;
@@ -28,6 +29,7 @@
 use landingvalve::store::Store;
 use landingvalve::wire::link::Error;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use crate::cell::heartbeat;
 use crate::cell::Fake;
@@ -36,6 +38,9 @@
 
 /// How often an agent is answered.
 const ANSWERS: Duration = Duration::from_millis(10);
+/// How long after a start without answer its order is surely given up: some
+/// times as long as an agent waits before it tries again.
+const QUIET: Duration = Duration::from_millis(1000);
 /// Above every revision of the store's.
 const TOKEN: i64 = 1000;
 
@@ -43,6 +48,7 @@
 struct Data {
     orders: Orders,
     last: Option<Report>,
+    reports: u32,
 }
 
 /// A planner that orders what it is told to.
@@ -103,6 +109,16 @@
         let last = || async { self.lock().last.as_ref().and_then(&wanted) };
         until(what, last).await
     }
+
+    /// Returns once an agent has taken in what is ordered now.
+    async fn answers(&self) {
+        let heard = self.lock().reports;
+        let twice = || async {
+            let reports = self.lock().reports;
+            (reports >= heard + 2).then_some(())
+        };
+        until("two reports are answered", twice).await;
+    }
 }
 
 impl fmt::Debug for Planner {
@@ -124,6 +140,7 @@
         tokio::time::sleep(ANSWERS).await;
         let mut data = self.lock();
         data.last = Some(report);
+        data.reports += 1;
         Ok(Answer::Orders {
             token: TOKEN,
             granted: true,
@@ -163,11 +180,26 @@
     }
 }
 
+fn leaving(worker: &Fake, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        leaving: true,
+        ..heartbeat(worker, sequence)
+    }
+}
+
 async fn is_known(planner: &Planner) {
     let known = |report: &Report| report.worker.as_ref().map(|_| ());
     planner.hears("the worker is known", known).await;
 }
 
+async fn is_refused(planner: &Planner) {
+    let refused = |report: &Report| {
+        let worker = report.worker.as_ref()?;
+        (!worker.refused.is_empty()).then_some(())
+    };
+    planner.hears("the run will never begin", refused).await;
+}
+
 async fn lost(worker: &Fake, count: u32) {
     let lost = || async { (worker.lost_starts() >= count).then_some(()) };
     until("starts have no answer", lost).await;
@@ -193,3 +225,64 @@
     assert_eq!(worker.began().len(), 1, "{:?}", worker.began());
     agent.kill();
 }
+
+/// A start had no answer, its order was withdrawn and given again, by the
+/// next planner say, and the worker was leaving by then. The agent had
+/// forgotten that start with its first order: it told that the run will never
+/// begin, and barred nothing. The planner begins another run elsewhere then,
+/// and the late start began this one as well.
+#[tokio::test]
+async fn a_start_without_answer_is_barred_though_its_order_is_given_again() {
+    let (planner, store) = Planner::new().await;
+    let worker = Fake::born();
+    let agent = planner.agent(&store, &worker);
+    agent.member.heartbeat(heartbeat(&worker, 1));
+    is_known(&planner).await;
+    worker.lose_starts(u32::MAX);
+    planner.order(&worker, vec![start(0)]);
+    lost(&worker, 1).await;
+    planner.order(&worker, Vec::new());
+    planner.answers().await;
+    is_quiet(&worker).await;
+    agent.member.heartbeat(leaving(&worker, 2));
+    planner.order(&worker, vec![start(0)]);
+    is_refused(&planner).await;
+    worker.carry_out_late();
+    assert_eq!(worker.began(), Vec::<String>::new(), "begun after all");
+    agent.kill();
+}
+
+/// The same, where the agent starts again before the order is given again:
+/// what it had sent, nobody knows.
+#[tokio::test]
+async fn a_start_of_an_earlier_agent_is_barred_before_it_is_refused() {
+    let (planner, store) = Planner::new().await;
+    let worker = Fake::born();
+    let first = planner.agent(&store, &worker);
+    first.member.heartbeat(heartbeat(&worker, 1));
+    is_known(&planner).await;
+    worker.lose_starts(u32::MAX);
+    planner.order(&worker, vec![start(0)]);
+    lost(&worker, 1).await;
+    first.kill();
+    let second = planner.agent(&store, &worker);
+    second.member.heartbeat(leaving(&worker, 2));
+    is_refused(&planner).await;
+    worker.carry_out_late();
+    assert_eq!(worker.began(), Vec::<String>::new(), "begun after all");
+    second.kill();
+}
+
+/// Returns once a withdrawn start is not tried again.
+async fn is_quiet(worker: &Fake) {
+    let mut tried = (worker.lost_starts(), Instant::now());
+    let quiet = || {
+        let now = worker.lost_starts();
+        if now != tried.0 {
+            tried = (now, Instant::now());
+        }
+        let quiet = tried.1.elapsed() > QUIET;
+        async move { quiet.then_some(()) }
+    };
+    until("nothing is started", quiet).await;
+}
