Simulation: a failure that nobody could read is no attempt

Two hypotheses: nobody could read the fourth end before its worker was gone; or somebody had and lost it.

Sight: the timeline now tells which ends an answer of the worker has listed, and which ended unseen with it. Runs 1, 4 and 5 are listed as failed within 8 ms; run 6 ends at 19300 ms, in the millisecond in which its worker goes down, and no answer ever listed it: "job9.0.0.0 run 6 ended unseen on w1-2". So the first holds: the users' rules count ends that are taken note of, and this one never can be.

Check: narrowed to just that. A failed run counts from the moment it ends, as before, and ceases to only when its worker goes down before any answer has listed it; an end that was listed counts on, whoever loses it afterwards, and no longer serves as the cause of a job that is shown as failed if nobody could know of it, which is stricter.

--- a/crates/landingvalve-sim/src/day.rs
+++ b/crates/landingvalve-sim/src/day.rs
@@ -86,6 +86,8 @@
     pub broken: Vec<String>,
     /// How many tasks began.
     pub starts: u64,
+    /// How many of them were listed as done before, in vain.
+    pub again: u64,
     /// How many jobs were accepted.
     pub accepted: usize,
     /// How often each fault was played.
@@ -192,6 +194,7 @@
         Report {
             broken,
             starts,
+            again: self.promise.again(),
             accepted,
             faults: self.faults,
             timeline: self.promise.timeline(),
--- a/crates/landingvalve-sim/src/promise.rs
+++ b/crates/landingvalve-sim/src/promise.rs
@@ -50,6 +50,10 @@
     running: BTreeMap<Task, Vec<String>>,
     ended: BTreeSet<Task>,
     noted: BTreeSet<Task>,
+    /// The tasks whose end as done an answer has listed.
+    listed: BTreeSet<Task>,
+    /// How many starts began such a task again.
+    again: u64,
     failed: BTreeMap<Task, BTreeSet<Run>>,
     crashes: BTreeMap<Task, (u32, u32)>,
     /// Runs that are not counted, and where.
@@ -129,6 +133,7 @@
             return;
         }
         data.starts += 1;
+        data.again += u64::from(data.listed.contains(task));
         data.check_start(key, when);
         let lives = data.running.entry(task.clone()).or_default();
         lives.push(life.to_owned());
@@ -161,6 +166,28 @@
         }
     }
 
+    /// Takes in that an answer lists the end of a run.
+    pub fn lists(&self, key: &Key, life: &str, how: How) {
+        let mut data = lock(&self.0);
+        let (task, run) = key;
+        data.tell(format!("{task} run {run} is listed by {life}: {how:?}"));
+        if how == How::Done {
+            data.listed.insert(task.clone());
+        }
+    }
+
+    /// Takes in that a worker has gone down before any answer listed the end
+    /// of a run: the users' rules count an end that is taken note of, and
+    /// this one never can be.
+    pub fn hides(&self, key: &Key, life: &str) {
+        let mut data = lock(&self.0);
+        let (task, run) = key;
+        data.tell(format!("{task} run {run} ended unseen on {life}"));
+        if let Some(runs) = data.failed.get_mut(task) {
+            runs.remove(run);
+        }
+    }
+
     /// Takes in that the end of a run as done was acknowledged.
     pub fn notes(&self, task: &Task) {
         let mut data = lock(&self.0);
@@ -193,6 +220,12 @@
         (data.broken.clone(), data.starts, data.accepted.len())
     }
 
+    /// Returns how many starts began a task again whose end as done an
+    /// answer had listed.
+    pub fn again(&self) -> u64 {
+        lock(&self.0).again
+    }
+
     /// Returns the day's timeline.
     pub fn timeline(&self) -> Vec<String> {
         lock(&self.0).lines.clone()
--- a/crates/landingvalve-sim/src/worker.rs
+++ b/crates/landingvalve-sim/src/worker.rs
@@ -90,6 +90,8 @@
     running: BTreeMap<Task, Work>,
     ended: Vec<Ended>,
     number: u64,
+    /// Up to which end an answer has listed them.
+    listed: u64,
     lapsed: u64,
     barred: BTreeMap<Task, Run>,
     /// The task that takes it down.
@@ -127,6 +129,7 @@
             running: BTreeMap::new(),
             ended: Vec::new(),
             number: 0,
+            listed: 0,
             lapsed: 0,
             barred: BTreeMap::new(),
             bad: None,
@@ -160,6 +163,11 @@
             let key = (task, work.run);
             self.promise.ends(&key, &life, None);
         }
+        // Nobody can know of these: they are told as gone with the worker.
+        let listed = data.listed;
+        for end in data.ended.iter().filter(|end| end.number > listed) {
+            self.promise.hides(&(end.task.clone(), end.run), &life);
+        }
         data.up = false;
     }
 
@@ -183,6 +191,7 @@
         data.leased = data.clock;
         data.ended.clear();
         data.number = 0;
+        data.listed = 0;
         data.lapsed = 0;
         data.barred.clear();
         self.promise.tell(format!("{} is up", data.life()));
@@ -459,6 +468,17 @@
         *barred = (*barred).max(stop.run);
     }
 
+    /// Takes in that an answer lists the ends that are there.
+    fn list(&self, data: &mut Data) {
+        let life = data.life();
+        let listed = data.listed;
+        for end in data.ended.iter().filter(|end| end.number > listed) {
+            let key = (end.task.clone(), end.run);
+            self.promise.lists(&key, &life, end.how);
+        }
+        data.listed = data.number;
+    }
+
     fn acknowledge(
         &self,
         data: &mut Data,
@@ -591,13 +611,14 @@
         let deadline = Instant::now() + wait;
         loop {
             {
-                let data = lock(&self.site.data);
+                let mut data = lock(&self.site.data);
                 if !data.up || data.births != births {
                     return Err(Error::Lost("gone".to_owned()));
                 }
                 let silent = data.mode.mute || data.mode.deaf;
                 let due = !data.ended.is_empty() || Instant::now() >= deadline;
                 if due && !silent {
+                    self.site.list(&mut data);
                     return Ok(data.look());
                 }
             }
--- a/crates/landingvalve-sim/tests/days.rs
+++ b/crates/landingvalve-sim/tests/days.rs
@@ -11,6 +11,10 @@
     [292, 1027, 1437, 1646, 4045, 4127, 4318, 10074, 14140, 30090];
 /// A day on which an end is forgotten before anybody has read it.
 const FORGOTTEN: u64 = 20307;
+/// A day on which a gang fails three times, and a fourth time where nobody can
+/// read it: `job9.0.0.0 run 6 ended unseen on w1-2`. It begins again, as it
+/// may.
+const UNSEEN: u64 = 950793;
 
 /// Plays a day that may break no promise; returns how many tasks began.
 fn play(seed: u64) -> u64 {
@@ -26,6 +30,11 @@
     play(FORGOTTEN);
 }
 
+#[test]
+fn a_failure_that_nobody_can_read_is_no_attempt() {
+    play(UNSEEN);
+}
+
 #[test]
 fn no_promise_is_broken_whatever_fails() {
     let days = (FIRST..FIRST + DAYS).chain(FOUND);
