Tell planners what was read of a worker that has gone since

Callers: work that was done, and known to be, was done a second time. An agent had read from its worker's list that a run had ended; the worker went down before a planner had heard it (none was there, or within the milliseconds of a report); and the agent then told only what had still been running there. The planner took the ended run for lost and began another.

Now what an agent tells of a life that is over holds the ends it had read that no planner is known to keep. A planner takes them in before it takes the runs there for lost, also from what agents keep in the store while no planner is reached.

births::what_was_read_as_done_is_not_done_again_though_its_worker_goes failed before (its tasks began a second time, the job never ended) and passes. The random schedules let agents tell such ends too.

--- a/src/cell/member/keep.rs
+++ b/src/cell/member/keep.rs
@@ -11,6 +11,7 @@
 use crate::cell::keys;
 use crate::cell::member::Member;
 use crate::cell::worker::Worker;
+use crate::graph::Ended;
 use crate::graph::Life;
 use crate::graph::Report;
 use crate::store::Compare;
@@ -35,9 +36,9 @@
 /// What was kept last.
 #[derive(Debug, Default)]
 struct Kept {
-    /// The life that it is of, and its highest end; nothing if nothing is
-    /// kept.
-    ends: Option<(Life, u64)>,
+    /// The lives that it is of, and the highest end of each; none if nothing
+    /// is kept.
+    ends: Vec<(Life, u64)>,
     /// The revision of the key, as far as it is known.
     revision: Revision,
 }
@@ -54,7 +55,7 @@
                 let report = self.lock().report(&self.0.config, now);
                 self.keep(report, &mut kept).await;
                 tokio::time::sleep(LOOK).await;
-            } else if kept.ends.is_some() {
+            } else if !kept.ends.is_empty() {
                 self.clear(&mut kept).await;
                 tokio::time::sleep(LOOK).await;
             } else {
@@ -66,15 +67,8 @@
 
     /// Keeps a report, if it lists an end that is not kept yet.
     async fn keep(&self, report: Report, kept: &mut Kept) {
-        let Some(worker) = &report.worker else {
-            return;
-        };
-        let ended = worker.lists.ended.iter().map(|ended| ended.number);
-        let Some(highest) = ended.max() else {
-            return;
-        };
-        let ends = Some((worker.life.clone(), highest));
-        if kept.ends == ends {
+        let ends = ends(&report);
+        if ends.is_empty() || kept.ends == ends {
             return;
         }
         let value = match serde_json::to_vec(&report) {
@@ -97,8 +91,7 @@
         if self.swap(put, kept).await {
             slog::info!(self.0.config.log,
                 "agent: ends are kept, no planner is reached";
-                "ends" => worker.lists.ended.len(), "to" => highest,
-                "life" => &*worker.life);
+                "ends" => ?ends);
             kept.ends = ends;
         }
     }
@@ -106,7 +99,7 @@
     /// Removes what is kept, once a planner has heard it.
     async fn clear(&self, kept: &mut Kept) {
         if self.swap(Put::Delete, kept).await {
-            kept.ends = None;
+            kept.ends.clear();
         }
     }
 
@@ -138,3 +131,16 @@
         }
     }
 }
+
+/// Returns the highest end that a report tells of each life.
+fn ends(report: &Report) -> Vec<(Life, u64)> {
+    let highest = |life: &Life, ended: &[Ended]| {
+        let last = ended.iter().map(|end| end.number).max()?;
+        Some((life.clone(), last))
+    };
+    let before = report.before.as_ref();
+    let before = before.and_then(|b| highest(&b.life, &b.ended));
+    let worker = report.worker.as_ref();
+    let worker = worker.and_then(|w| highest(&w.life, &w.lists.ended));
+    before.into_iter().chain(worker).collect()
+}
--- a/src/cell/member/known.rs
+++ b/src/cell/member/known.rs
@@ -9,6 +9,7 @@
 use crate::cell::member::Heartbeat;
 use crate::cell::worker::WorkerTime;
 use crate::graph::Before;
+use crate::graph::Ended;
 use crate::graph::Life;
 use crate::graph::Lists;
 use crate::graph::Refusal;
@@ -61,6 +62,8 @@
     /// Its time, and when we had it: it was then no earlier.
     pub clock: Option<(WorkerTime, Instant)>,
     pub lists: Option<Lists>,
+    /// The ends that it has listed last, once its lists count no more.
+    pub read: Vec<Ended>,
     /// Counts the looks.
     pub looks: u64,
     pub noted: u64,
@@ -108,6 +111,7 @@
             clock: beat.time.map(|time| (time, now)),
             beat,
             lists: None,
+            read: Vec::new(),
             looks: 0,
             noted: 0,
             starts: BTreeMap::new(),
@@ -167,9 +171,20 @@
         self.begun.contains_key(key)
     }
 
+    /// Takes in that another birth answers: these lists are of before.
+    pub(super) fn is_replaced(&mut self) {
+        if let Some(lists) = self.lists.take() {
+            self.read = lists.ended;
+        }
+    }
+
     /// Returns what is told of this life once it is over.
     pub(super) fn before(&self) -> Before {
+        // What it has done and was read is not done again for its end.
+        let ended = self.lists.as_ref().map_or(&self.read, |l| &l.ended);
+        let untold = ended.iter().filter(|end| end.number > self.noted);
         Before {
+            ended: untold.cloned().collect(),
             life: self.beat.life.clone(),
             begun: self.begun.keys().cloned().collect(),
             unseen: !self.seen,
--- a/src/cell/member/state.rs
+++ b/src/cell/member/state.rs
@@ -282,7 +282,7 @@
         if known.beat.life.is_other(look.born) {
             // Its successor is taken in with its own heartbeat, which is
             // news now that this one answers no more.
-            known.lists = None;
+            known.is_replaced();
             return false;
         }
         known.shows_life(now);
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -16,6 +16,7 @@
 use crate::graph::unit::Unit;
 use crate::graph::unit::Why;
 use crate::graph::AgentId;
+use crate::graph::Before;
 use crate::graph::Book;
 use crate::graph::Decision;
 use crate::graph::Ended;
@@ -112,6 +113,8 @@
         let mut over = Vec::from_iter(report.gone);
         if let Some(before) = report.before {
             let life = before.life.clone();
+            // Before its worker is taken for gone: these are no losses.
+            self.take_past(&agent, &before, now);
             let told = self.before.insert(agent.clone(), before.clone());
             if before.over && told.as_ref() != Some(&before) {
                 over.push(life);
@@ -326,13 +329,7 @@
         worker.taken = ended.number;
         self.changed = true;
         let task = &ended.task;
-        if let Some((key, at)) = self.find(task, ended.run, place) {
-            self.save(&task.job, &key, &ended.saved);
-            let end = End::Listed(ended.how);
-            self.end_member(&task.job, &key, at, end, now);
-        } else if ended.how == How::Done {
-            self.credit(task, now);
-        }
+        self.settle_end(place, ended, now);
         let version = self.jobs.get(&task.job).map_or(0, |e| e.version);
         let unnoted = Unnoted {
             number: ended.number,
@@ -345,6 +342,30 @@
         self.stirred.insert(place.agent.clone());
     }
 
+    /// Takes in the ends that a life has listed which is over. They can be
+    /// told again, and are never acknowledged.
+    fn take_past(&mut self, agent: &AgentId, before: &Before, now: Moment) {
+        let place = Place {
+            agent: agent.clone(),
+            life: before.life.clone(),
+        };
+        for ended in &before.ended {
+            self.settle_end(&place, ended, now);
+        }
+    }
+
+    fn settle_end(&mut self, place: &Place, ended: &Ended, now: Moment) {
+        let task = &ended.task;
+        if let Some((key, at)) = self.find(task, ended.run, place) {
+            self.changed = true;
+            self.save(&task.job, &key, &ended.saved);
+            let end = End::Listed(ended.how);
+            self.end_member(&task.job, &key, at, end, now);
+        } else if ended.how == How::Done {
+            self.credit(task, now);
+        }
+    }
+
     /// Keeps a checkpoint that comes with an end: once the end is
     /// acknowledged, the worker no longer has it.
     pub(super) fn save(&mut self, id: &str, key: &UnitKey, saved: &str) {
--- a/src/graph/report.rs
+++ b/src/graph/report.rs
@@ -147,6 +147,9 @@
     /// one's lists tell.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub over: bool,
+    /// The ends that it listed and that no planner is known to have kept.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ended: Vec<Ended>,
 }
 
 /// What an agent says.
--- a/tests/it/births.rs
+++ b/tests/it/births.rs
@@ -384,6 +384,34 @@
     entry.kill();
 }
 
+/// The two tasks of a job were done, and their agent had read so, while no
+/// planner was there to hear it. Their worker started again before there was
+/// one: the agent told that nothing had been running there, `a run has ended
+/// how="worker gone"`, and both were done a second time.
+#[tokio::test]
+async fn what_was_read_as_done_is_not_done_again_though_its_worker_goes() {
+    let store = Memory::default();
+    let worker = Fake::born();
+    let admission = Admission::new(store.clone(), log::none());
+    let entry = Entry::start("entry", &store).await;
+    let agent = agent(&store, &worker);
+    admission.submit(&job("a"), soon()).await;
+    runs(&worker, 2).await;
+    entry.kill();
+    worker.end_all(How::Done);
+    let looked = worker.looks();
+    let looks = || async { (worker.looks() >= looked + 3).then_some(()) };
+    until("the agent has read both ends", looks).await;
+    worker.start_again();
+    let next = Entry::start("next", &store).await;
+    reaches(&admission, "a", DONE).await;
+    let mut began = worker.began();
+    began.sort();
+    assert_eq!(began, ["a.0.0.0 1", "a.0.0.1 1"], "done again");
+    agent.abort();
+    next.kill();
+}
+
 #[tokio::test]
 async fn a_look_that_comes_late_to_a_later_birth_forgets_no_end() {
     let store = Memory::default();
--- a/tests/it/crashes.rs
+++ b/tests/it/crashes.rs
@@ -124,6 +124,7 @@
             begun: begun.collect(),
             unseen: false,
             over: false,
+            ended: Vec::new(),
         };
         if worker.running.iter().any(&bad) {
             worker.before = Some(before);
--- a/tests/it/graph_faults.rs
+++ b/tests/it/graph_faults.rs
@@ -371,6 +371,7 @@
             begun: begun.collect(),
             unseen: false,
             over: false,
+            ended: worker.ended.clone(),
         });
         for running in &worker.running {
             *self.under.entry(running.task.clone()).or_default() += 1;
