Give no job up for workers that only fell silent

Cause: a worker that nobody hears was counted as one that went down. What each looks like was known and thrown away: the machine of a worker that is down refuses connections, that of one that is cut off says nothing.

Now agents tell the two apart, and what only fell silent (its worker, or its agent) counts against a task once it is sure: another life is there, or nothing is heard for 30 s more, so that a task that takes VMs along with their agents is still bounded. It is taken back when the same life is there again. New planners keep such a loss as one that is excused, as those of workers that had said they leave.

--- a/benches/pass.rs
+++ b/benches/pass.rs
@@ -152,6 +152,7 @@
             sequence: self.sequence,
             gone: None,
             before: None,
+            silent: false,
             worker: Some(WorkerReport {
                 life: format!("life{at:04}").into(),
                 pool: "pool".into(),
--- a/crates/landingvalve-experiment/src/fleet.rs
+++ b/crates/landingvalve-experiment/src/fleet.rs
@@ -233,6 +233,7 @@
             sequence: self.sequence,
             gone: (!self.is_up()).then(|| gone.as_str().into()),
             before: None,
+            silent: false,
             worker: self.is_up().then_some(worker),
         }
     }
--- a/crates/landingvalve-sim/src/worker.rs
+++ b/crates/landingvalve-sim/src/worker.rs
@@ -520,7 +520,7 @@
             std::future::pending::<()>().await;
         }
         if !up {
-            return Err(Error::Unreached("down".to_owned()));
+            return Err(Error::Down("down".to_owned()));
         }
         if mode.deaf {
             return Err(Error::Lost("reset".to_owned()));
--- a/crates/landingvalve-sim/tests/days.rs
+++ b/crates/landingvalve-sim/tests/days.rs
@@ -15,6 +15,9 @@
 /// read it: `job9.0.0.0 run 6 ended unseen on w1-2`. It begins again, as it
 /// may.
 const UNSEEN: u64 = 950793;
+/// A day on which one worker goes down under a task, and two others that run
+/// it are only not heard of for some seconds.
+const SILENT: u64 = 961101;
 
 /// Plays a day that may break no promise; returns how many tasks began.
 fn play(seed: u64) -> u64 {
@@ -35,6 +38,11 @@
     play(UNSEEN);
 }
 
+#[test]
+fn a_job_is_not_given_up_for_workers_that_only_fell_silent() {
+    play(SILENT);
+}
+
 #[test]
 fn no_promise_is_broken_whatever_fails() {
     let days = (FIRST..FIRST + DAYS).chain(FOUND);
--- a/src/cell/member/act.rs
+++ b/src/cell/member/act.rs
@@ -220,7 +220,9 @@
                 self.fenced(call.token);
                 false
             }
-            Ok(Err(Error::OtherLife | Error::Unreached(_))) => false,
+            Ok(Err(
+                Error::OtherLife | Error::Unreached(_) | Error::Down(_),
+            )) => false,
             Ok(Err(Error::Lost(_))) | Err(_) => {
                 let mut state = self.lock();
                 state.begun(&call.life, key, start.charge);
@@ -342,7 +344,7 @@
         Ok(Err(Error::Late(_))) => "late",
         Ok(Err(Error::Fenced)) => "fenced",
         Ok(Err(Error::OtherLife)) => "another life",
-        Ok(Err(Error::Unreached(_))) => "not reached",
+        Ok(Err(Error::Unreached(_) | Error::Down(_))) => "not reached",
         Ok(Err(Error::Lost(_))) | Err(_) => "no answer",
     };
     let labels = [label("kind", kind), label("outcome", outcome)];
--- a/src/cell/member/known.rs
+++ b/src/cell/member/known.rs
@@ -91,6 +91,8 @@
     pub over: Option<Instant>,
     /// Whether that is because its leases have run out in silence.
     pub lapsed: bool,
+    /// Whether its process was seen to be down.
+    pub down: bool,
     /// Whether it is leaving only because it was said to have left.
     pub left: bool,
     /// The runs of earlier births under its name that may begin here: a
@@ -129,6 +131,7 @@
             over: None,
             left: false,
             lapsed: false,
+            down: false,
             late: BTreeSet::new(),
             since: 0,
         }
--- a/src/cell/member/look.rs
+++ b/src/cell/member/look.rs
@@ -94,7 +94,9 @@
 
     async fn unlooked(&self, plan: &Plan, error: Error) -> Duration {
         count(match &error {
-            Error::Lost(_) | Error::Unreached(_) => "no answer",
+            Error::Lost(_) | Error::Unreached(_) | Error::Down(_) => {
+                "no answer"
+            }
             _ => "turned away",
         });
         match &error {
@@ -103,18 +105,20 @@
                 "agent: a look has failed"; "error" => %error),
         }
         let now = Instant::now();
+        let down = matches!(error, Error::Down(_));
+        let unreached = matches!(error, Error::Lost(_) | Error::Unreached(_));
         if matches!(error, Error::OtherLife) {
             self.life_left(&plan.call.life, false);
-        } else if !matches!(error, Error::Lost(_) | Error::Unreached(_)) {
+        } else if !down && !unreached {
             // Whatever it says, the worker lives.
             let mut state = self.lock();
             if let Some(known) = &mut state.worker {
                 known.shows_life(now);
             }
-        } else if self.lock().unanswered(now) {
+        } else if self.lock().unanswered(down, now) {
             slog::warn!(self.0.config.log,
                 "agent: the worker does not answer"; "error" => %error,
-                "life" => &*plan.call.life);
+                "down" => down, "life" => &*plan.call.life);
             self.0.news.notify_one();
         }
         pause(AGAIN).await;
--- a/src/cell/member/state.rs
+++ b/src/cell/member/state.rs
@@ -197,6 +197,7 @@
             sequence: self.sequence,
             gone: over.map(|known| known.beat.life.clone()),
             before,
+            silent: over.is_some_and(|known| known.lapsed && !known.down),
             worker: alive.and_then(|known| known.report(now)),
         }
     }
@@ -348,12 +349,14 @@
         })
     }
 
-    /// Takes in that a look had no answer; returns whether that is news: the
+    /// Takes in that a look had no answer, and whether that was for the
+    /// worker's process being down; returns whether that is news: the
     /// worker now counts as deaf, or its life has come to its end.
-    pub fn unanswered(&mut self, now: Instant) -> bool {
+    pub fn unanswered(&mut self, down: bool, now: Instant) -> bool {
         let Some(known) = &mut self.worker else {
             return false;
         };
+        known.down |= down;
         known.unanswered = known.unanswered.saturating_add(1);
         let deaf = known.unanswered == DEAF;
         let lapsed = known.leased.is_none_or(|l| now > l + LEASE_SLACK);
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -42,6 +42,9 @@
     /// No connection was made: it has had no effect.
     #[error("not reached: {0}")]
     Unreached(String),
+    /// Its machine has answered that nobody listens: its process is down.
+    #[error("nobody listens: {0}")]
+    Down(String),
     /// No answer: it may have had its effect, or may yet have.
     #[error("no answer: {0}")]
     Lost(String),
--- a/src/graph/book.rs
+++ b/src/graph/book.rs
@@ -12,6 +12,7 @@
 use crate::graph::history::History;
 use crate::graph::inquiry::Inquiry;
 use crate::graph::pace::Filling;
+use crate::graph::silence::Silence;
 use crate::graph::unit::Why;
 use crate::graph::AgentId;
 use crate::graph::Before;
@@ -155,6 +156,8 @@
     pub(super) urgent: BTreeMap<Text, Instant>,
     /// Who may run the steps whose starts need leave.
     pub(super) leave: BTreeMap<StepKey, Leave>,
+    /// Losses of workers that only fell silent.
+    pub(super) silences: Vec<Silence>,
     /// What is asked about agents that are silent.
     pub(super) inquiries: BTreeMap<AgentId, Inquiry>,
     /// Halls that are to be given no new work.
@@ -188,6 +191,7 @@
             history: History::default(),
             urgent: BTreeMap::new(),
             leave: BTreeMap::new(),
+            silences: Vec::new(),
             inquiries: BTreeMap::new(),
             closed: BTreeSet::new(),
             withdrawn: BTreeMap::new(),
--- a/src/graph/crash.rs
+++ b/src/graph/crash.rs
@@ -61,6 +61,14 @@
             || self.lost >= LOST && more >= may
             || self.lost >= GIVEN_UP && all >= LOST + MORE
     }
+
+    /// Counts a worker that went down.
+    pub(super) fn count(&mut self) {
+        self.lost += 1;
+        if self.lost == LOST {
+            self.limit = self.run;
+        }
+    }
 }
 
 impl Member {
@@ -71,13 +79,34 @@
     }
 
     /// Returns how long it was seen at work, at least.
-    fn ran(&self) -> Duration {
+    pub(super) fn ran(&self) -> Duration {
         let seen = self.seen.unwrap_or(self.since);
         seen.saturating_duration_since(self.since)
     }
 }
 
 impl Entry {
+    /// Returns what is kept of the losses under a member's task, and its run,
+    /// now that it is counted; nothing if that one was counted before, told
+    /// to this planner or an earlier one.
+    fn loss(
+        &mut self,
+        key: &UnitKey,
+        member: &Member,
+    ) -> Option<(Run, &mut Loss)> {
+        let kept = self.progress.units.entry(*key).or_default();
+        let run = kept.run;
+        let loss = kept.lost.entry(member.index).or_default();
+        if loss.run >= run {
+            return None;
+        }
+        if member.ran() >= FORGIVEN {
+            *loss = Loss::default();
+        }
+        loss.run = run;
+        Some((run, loss))
+    }
+
     /// Returns whether workers were suddenly lost under a task of a unit, more
     /// than by chance.
     pub(super) fn is_suspect(&self, key: &UnitKey) -> bool {
@@ -128,38 +157,25 @@
         if never {
             return;
         }
+        if excused {
+            self.excuse(id, key, member);
+            return;
+        }
         let Some(entry) = self.jobs.get_mut(id) else {
             return;
         };
         let of = entry.subject(key);
-        entry.blamed |= !excused;
-        let kept = entry.progress.units.entry(*key).or_default();
-        let run = kept.run;
-        let loss = kept.lost.entry(member.index).or_default();
-        if loss.run >= run {
-            // Told before, to this planner or an earlier one.
-            return;
-        }
-        if member.ran() >= FORGIVEN {
-            *loss = Loss::default();
-        }
-        if excused {
-            loss.run = run;
-            loss.excused += 1;
-            self.touch(id);
+        let Some((run, loss)) = entry.loss(key, member) else {
             return;
-        }
+        };
         // How long an earlier planner has seen it at work is not known; and
         // an agent that went with its worker tells nothing.
         let known = begun.is_some() && !announced && !member.adopted;
         let sudden = known && !member.is_proven();
-        loss.run = run;
-        loss.lost += 1;
-        if loss.lost == LOST {
-            loss.limit = run;
-        }
+        loss.count();
         loss.sudden += u32::from(sudden);
         let loss = *loss;
+        entry.blamed = true;
         if sudden {
             entry.acquitted = false;
         }
@@ -177,9 +193,33 @@
         }
     }
 
+    /// Counts the loss of a member's worker as one that may not have been its
+    /// task's doing; returns whether it was not counted before.
+    pub(super) fn excuse(
+        &mut self,
+        id: &str,
+        key: &UnitKey,
+        member: &Member,
+    ) -> bool {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return false;
+        };
+        let Some((_, loss)) = entry.loss(key, member) else {
+            return false;
+        };
+        loss.excused += 1;
+        self.touch(id);
+        true
+    }
+
     /// Returns whether a member had begun on its worker before that went, if
     /// its agent tells so.
-    fn begun(&self, id: &str, key: &UnitKey, member: &Member) -> Option<bool> {
+    pub(super) fn begun(
+        &self,
+        id: &str,
+        key: &UnitKey,
+        member: &Member,
+    ) -> Option<bool> {
         let before = self.before.get(&member.place.agent)?;
         if before.life != member.place.life {
             return None;
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -110,7 +110,11 @@
     /// Takes in what an agent says; returns whether it was news.
     pub fn report(&mut self, report: Report, now: Moment) -> bool {
         let agent = report.agent;
-        let mut over = Vec::from_iter(report.gone);
+        let (silent, gone) = match report.silent {
+            true => (report.gone, None),
+            false => (None, report.gone),
+        };
+        let mut over = Vec::from_iter(gone);
         if let Some(before) = report.before {
             let life = before.life.clone();
             // Before its worker is taken for gone: these are no losses.
@@ -121,7 +125,7 @@
             }
         }
         let Some(said) = report.worker else {
-            self.lives_over(&agent, over, now);
+            self.lives_over(&agent, over, silent, now);
             return self.heard(&agent, now.now);
         };
         let stale = self.workers.get(&agent).is_some_and(|worker| {
@@ -129,12 +133,13 @@
                 && report.sequence <= worker.sequence
         });
         if stale {
-            self.lives_over(&agent, over, now);
+            self.lives_over(&agent, over, silent, now);
             return false;
         }
         self.take_worker(&agent, &said, report.process, now);
+        self.settle_silences(&agent, &said, now);
         // Not before: what the present birth lists is no loss of another.
-        self.lives_over(&agent, over, now);
+        self.lives_over(&agent, over, silent, now);
         if let Some(worker) = self.workers.get_mut(&agent) {
             worker.sequence = report.sequence;
         }
@@ -168,10 +173,22 @@
         true
     }
 
-    fn lives_over(&mut self, agent: &AgentId, over: Vec<Life>, now: Moment) {
+    fn lives_over(
+        &mut self,
+        agent: &AgentId,
+        over: Vec<Life>,
+        silent: Option<Life>,
+        now: Moment,
+    ) {
+        let place = |life| Place {
+            agent: agent.clone(),
+            life,
+        };
         for life in over {
-            let agent = agent.clone();
-            self.life_over(&Place { agent, life }, now);
+            self.life_over(&place(life), End::Gone, now);
+        }
+        if let Some(life) = silent {
+            self.life_over(&place(life), End::Silent, now);
         }
     }
 
@@ -187,13 +204,13 @@
         charges.fold(Resources::default(), |sum, charge| sum.plus(&charge))
     }
 
-    /// Takes in that a life of a worker is over.
-    pub fn life_over(&mut self, place: &Place, now: Moment) {
+    /// Takes in that a life of a worker is over, or may be.
+    fn life_over(&mut self, place: &Place, end: End, now: Moment) {
         if let Some(worker) = self.workers.get_mut(&place.agent) {
             worker.gone |= worker.life == place.life;
         }
         self.changed = true;
-        self.lose(|other| other == place, now);
+        self.lose_by(end, |other| other == place, now);
     }
 
     fn heard(&mut self, agent: &AgentId, now: Instant) -> bool {
--- a/src/graph/loss.rs
+++ b/src/graph/loss.rs
@@ -27,6 +27,16 @@
 impl Book {
     /// Ends the members on places that are gone.
     pub(super) fn lose(&mut self, gone: impl Fn(&Place) -> bool, now: Moment) {
+        self.lose_by(End::Gone, gone, now);
+    }
+
+    /// Ends the members on places that are gone, or may be.
+    pub(super) fn lose_by(
+        &mut self,
+        end: End,
+        gone: impl Fn(&Place) -> bool,
+        now: Moment,
+    ) {
         let mut lost = Vec::new();
         for entry in self.live() {
             for (key, unit) in &entry.units {
@@ -42,7 +52,7 @@
             }
         }
         for (id, key, at) in lost {
-            self.end_member(&id, &key, at, End::Gone, now);
+            self.end_member(&id, &key, at, end, now);
         }
         self.unreserve_lost(gone, now);
     }
@@ -90,7 +100,7 @@
                 life: place.life.clone(),
                 silent: now.now.saturating_duration_since(heard),
             });
-            self.lose(|other| *other == place, now);
+            self.lose_by(End::Silent, |other| *other == place, now);
         }
     }
 
@@ -122,7 +132,7 @@
             }
         }
         for (id, key, at) in over {
-            self.end_member(&id, &key, at, End::Gone, now);
+            self.end_member(&id, &key, at, End::Silent, now);
         }
     }
 
--- a/src/graph/mod.rs
+++ b/src/graph/mod.rs
@@ -40,6 +40,7 @@
 mod settle;
 mod shortage;
 mod shrink;
+mod silence;
 mod spare;
 mod unit;
 mod urgency;
--- a/src/graph/report.rs
+++ b/src/graph/report.rs
@@ -164,6 +164,10 @@
     /// A life of its worker that is over.
     #[serde(default)]
     pub gone: Option<Life>,
+    /// Whether that one only said nothing until its leases had run out: it
+    /// may be there, cut off, with no task that was at fault.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub silent: bool,
     /// The life that was over last, if that is not long ago.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub before: Option<Before>,
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -46,6 +46,7 @@
     pub fn step(&mut self, now: Moment) {
         self.changed = false;
         self.lose_silent(now);
+        self.blame_silent(now);
         self.end_broken(now);
         self.stop_stuck(now);
         self.leave(now);
--- a/src/graph/settle.rs
+++ b/src/graph/settle.rs
@@ -36,6 +36,8 @@
     Never(Refusal),
     /// Its worker is gone.
     Gone,
+    /// Its worker, or the agent beside it, says nothing: it may be there.
+    Silent,
 }
 
 impl End {
@@ -55,6 +57,7 @@
             End::Never(Refusal::Invalid) => "refused: order invalid",
             End::Never(Refusal::Ticket) => "refused: leave ran out",
             End::Gone => "worker gone",
+            End::Silent => "worker silent",
         }
     }
 }
@@ -106,7 +109,9 @@
         let known_bad = unit.avoid.contains(&place.agent);
         unit.cut = unit.cut.max(match end {
             End::Listed(How::Failed) if known_bad => Cut::Refused,
-            End::Listed(How::Failed | How::Broken) | End::Gone => Cut::Lost,
+            End::Listed(How::Failed | How::Broken)
+            | End::Gone
+            | End::Silent => Cut::Lost,
             End::Never(Refusal::Barred) | End::Listed(_) => Cut::Stopped,
             End::Never(_) => Cut::Refused,
         });
@@ -136,8 +141,10 @@
             kept.failed += 1;
             self.touch(id);
         }
-        if end == End::Gone {
-            self.blame(id, key, &lost);
+        match end {
+            End::Gone => self.blame(id, key, &lost),
+            End::Silent => self.blame_later(id, key, &lost, now),
+            _ => {}
         }
         if let Some(ran) = learnt {
             self.learn(&job, key, ran);
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,5 +1,6 @@
 //! A client that gives each call a deadline.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use http_body_util::BodyExt;
@@ -45,6 +46,8 @@
         url: String,
         /// Why it was not reached.
         reason: String,
+        /// Whether its machine has answered that nobody listens there.
+        refused: bool,
     },
     /// The answer did not come, or not whole: any effect is unknown.
     #[error("{url}: no answer: {reason}")]
@@ -334,7 +337,7 @@
 }
 
 fn encode(url: &str, value: &impl Serialize) -> Result<Vec<u8>, Error> {
-    serde_json::to_vec(value).map_err(|error| unreached(url, error))
+    serde_json::to_vec(value).map_err(|error| unreached(url, &error))
 }
 
 /// Returns the header of a body in JSON.
@@ -352,7 +355,7 @@
         .method(method)
         .uri(url)
         .body(Full::new(body))
-        .map_err(|error| unreached(url, error))
+        .map_err(|error| unreached(url, &error))
 }
 
 fn failed(url: &str, error: &hyper_util::client::legacy::Error) -> Error {
@@ -362,13 +365,27 @@
     }
 }
 
-fn unreached(url: &str, reason: impl std::fmt::Display) -> Error {
+fn unreached(url: &str, reason: &(dyn std::error::Error + 'static)) -> Error {
     Error::Unreached {
         url: url.to_owned(),
         reason: reason.to_string(),
+        refused: is_refused(reason),
     }
 }
 
+/// Returns whether a connection was refused, by an error or its sources.
+fn is_refused(error: &(dyn std::error::Error + 'static)) -> bool {
+    let mut next = Some(error);
+    while let Some(error) = next {
+        let io = error.downcast_ref::<std::io::Error>();
+        if io.is_some_and(|io| io.kind() == ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        next = error.source();
+    }
+    false
+}
+
 fn lost(url: &str, reason: impl std::fmt::Display) -> Error {
     Error::Lost {
         url: url.to_owned(),
--- a/tests/it/crashes.rs
+++ b/tests/it/crashes.rs
@@ -9,14 +9,17 @@
 
 use landingvalve::graph::Before;
 use landingvalve::graph::Book;
+use landingvalve::graph::How;
 use landingvalve::graph::Job;
 use landingvalve::graph::Outcome;
+use landingvalve::graph::Report;
 use landingvalve::graph::Running;
 use landingvalve::graph::Terms;
 
 use crate::graph::job;
 use crate::graph::step;
 use crate::graph::Site;
+use crate::graph::Worker;
 
 /// How many workers may go down under a task, and how often it may begin
 /// after that.
@@ -224,3 +227,106 @@
     assert_eq!(site.outcome("good"), None);
     assert_eq!(site.running("good"), 1);
 }
+
+/// Takes away the worker that runs a job's task, whose agent tells after a
+/// while that it says nothing any more.
+fn fall_silent(site: &mut Site, id: &str) -> Worker {
+    let runs =
+        |worker: &Worker| worker.running.iter().any(|r| &*r.task.job == id);
+    let at = site.workers.iter().position(runs).expect("it runs");
+    let mut worker = site.workers.remove(at);
+    let said = worker.report();
+    let report = Report {
+        gone: said.worker.map(|worker| worker.life),
+        worker: None,
+        silent: true,
+        ..said
+    };
+    site.book.report(report, site.now);
+    worker
+}
+
+/// A job was shown as failed though only one worker had gone down under it:
+/// `job4.0.0.0 run 1 ends on w2 3: None`, then two workers that were cut off
+/// for some seconds and ran on, one failed run and one that was stopped. The
+/// two that said nothing were counted as if its task had taken them down.
+#[test]
+fn workers_that_only_fell_silent_are_no_reason_to_give_a_job_up() {
+    let mut site = Site::new(FOUR);
+    site.submit(job("good", 1, vec![step(1, 8, false)], &site));
+    round(&mut site);
+    assert_eq!(crash(&mut site, |r| &*r.task.job == "good"), 1);
+    for _ in 0..2 {
+        round(&mut site);
+        round(&mut site);
+        fall_silent(&mut site, "good");
+    }
+    for how in [How::Failed, How::Stopped] {
+        for _ in 0..3 {
+            round(&mut site);
+        }
+        for worker in &mut site.workers {
+            worker.end(how, |r| &*r.task.job == "good");
+        }
+    }
+    for _ in 0..3 {
+        round(&mut site);
+    }
+    assert_eq!(site.outcome("good"), None);
+    assert_eq!(site.running("good"), 1);
+}
+
+#[test]
+fn workers_that_fell_silent_and_were_down_count_once_that_is_known() {
+    // The next life tells it, or that nothing is heard for long; and new
+    // planners learn of it as well.
+    for (comes_back, waits) in [(true, 0), (false, 150)] {
+        let mut site = Site::new(FOUR);
+        let bad = job("bad", 1, vec![step(1, 8, false)], &site);
+        site.submit(bad);
+        let case = format!("comes back: {comes_back}");
+        let mut starts = 0;
+        for _ in 0..12 {
+            for _ in 0..3 {
+                round(&mut site);
+            }
+            if site.running("bad") == 0 {
+                break;
+            }
+            starts += 1;
+            let mut worker = fall_silent(&mut site, "bad");
+            for _ in 0..waits {
+                round(&mut site);
+            }
+            worker.life += 1;
+            worker.running.clear();
+            if !comes_back {
+                worker.agent = format!("{}+", worker.agent).into();
+            }
+            site.workers.push(worker);
+        }
+        assert_eq!(site.outcome("bad"), Some(Outcome::Failed), "{case}");
+        assert!(starts <= CRASHES + MORE, "{case}: {starts} starts");
+    }
+}
+
+#[test]
+fn a_worker_that_was_silent_and_is_there_again_counts_against_nobody() {
+    let mut site = Site::new(FOUR);
+    site.submit(job("good", 1, vec![step(1, 8, false)], &site));
+    for _ in 0..8 {
+        for _ in 0..3 {
+            round(&mut site);
+        }
+        let mut worker = fall_silent(&mut site, "good");
+        // Longer than it takes to count as down.
+        for _ in 0..110 {
+            round(&mut site);
+        }
+        worker.running.clear();
+        site.workers.push(worker);
+        round(&mut site);
+    }
+    assert_eq!(site.outcome("good"), None);
+    assert_eq!(site.running("good"), 1);
+}
--- a/tests/it/graph.rs
+++ b/tests/it/graph.rs
@@ -76,6 +76,7 @@
             sequence: self.sequence,
             gone: None,
             before: self.before.clone(),
+            silent: false,
             worker: Some(WorkerReport {
                 life: format!("{}-{}", self.agent, self.life).into(),
                 pool: "pool".into(),
--- a/tests/it/graph_faults.rs
+++ b/tests/it/graph_faults.rs
@@ -571,6 +571,7 @@
             sequence: worker.sequence,
             gone: gone.map(life),
             before: worker.before.clone(),
+            silent: false,
             worker: Some(WorkerReport {
                 life: life(worker.life),
                 pool: "pool".into(),
