Orders in tests bear the revision of their planner's claim

Traced by reading: the planner that the test plays gave a fencing token of 1000, its claim's revision was 1. A new agent's first look bore the claim's revision; when it came to the worker before the first orders did, the worker refused it, and the agent rightly took that claim for fenced, for ever. The product's planners give their claim's revision as their token. What the test checks is unchanged.

--- a/tests/it/ordered.rs
+++ b/tests/it/ordered.rs
@@ -26,6 +26,7 @@
 use landingvalve::graph::Terms;
 use landingvalve::log;
 use landingvalve::store::Put;
+use landingvalve::store::Revision;
 use landingvalve::store::Store;
 use landingvalve::wire::link::Error;
 use tokio::task::JoinHandle;
@@ -41,11 +42,11 @@
 /// How long after a start without answer its order is surely given up: some
 /// times as long as an agent waits before it tries again.
 const QUIET: Duration = Duration::from_millis(1000);
-/// Above every revision of the store's.
-const TOKEN: i64 = 1000;
 
 #[derive(Default)]
 struct Data {
+    /// The revision of its claim.
+    token: Revision,
     orders: Orders,
     last: Option<Report>,
     reports: u32,
@@ -68,7 +69,10 @@
         let holder = serde_json::to_vec(&holder).expect("encodes");
         let put = Put::Value(keys::PLANNER.to_owned(), holder, 0);
         store.swap(&[], vec![put]).await.expect("is written");
-        (Planner::default(), store)
+        let claim = store.get(keys::PLANNER).await.expect("answers");
+        let planner = Planner::default();
+        planner.lock().token = claim.expect("is there").modified;
+        (planner, store)
     }
 
     /// Starts an agent that reports to it.
@@ -142,7 +146,7 @@
         data.last = Some(report);
         data.reports += 1;
         Ok(Answer::Orders {
-            token: TOKEN,
+            token: data.token,
             granted: true,
             orders: data.orders.clone(),
         })
