Bound what falls silent under one task, over changes of planners

The mend before, for jobs that were given up too soon, let a task that takes VMs along with their agents begin without end where planners change: a new one does not know which losses were not sure yet, and excused them.

Change: losses by silence are kept as a figure of their own with the unit's progress; six lost or silent ones at all end the job. The line on a loss tells the figure, and explain takes `worker silent` for a worker that is gone.

crashes::a_task_under_which_all_fall_silent_is_given_up_whoever_plans failed before (12 starts, no end), and passes with six. The row of explain's test fails without its line.

--- a/src/cell/teller.rs
+++ b/src/cell/teller.rs
@@ -242,7 +242,8 @@
         } => slog::warn!(log,
             "planner: a worker was lost under a task"; of, "run" => run,
             "task" => task, "worker" => &**life, "ran_ms" => millis(ran),
-            "lost" => loss.lost, "sudden" => loss.sudden, "token" => token),
+            "lost" => loss.lost, "sudden" => loss.sudden,
+            "silent" => loss.silent, "token" => token),
         Decision::Over {
             job,
             account,
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -67,7 +67,7 @@
     match (how, why) {
         (_, Some("room for urgent work")) => Cause::Displaced,
         (_, Some("stuck")) => Cause::Stuck,
-        ("worker gone" | "lease ran out", _) => Cause::Gone,
+        ("worker gone" | "worker silent" | "lease ran out", _) => Cause::Gone,
         ("failed", _) => Cause::Failed,
         _ => Cause::Broken,
     }
--- a/src/graph/crash.rs
+++ b/src/graph/crash.rs
@@ -46,6 +46,10 @@
 const MORE: Run = 2;
 /// Under how many lost workers callers' rules let a task be given up.
 const GIVEN_UP: u32 = 2;
+/// How many workers may go or fall silent under a task: one that takes VMs
+/// along would else be tried on one after the other where planners change, and
+/// none of them hears for long of the same one.
+const UNHEARD: u32 = 6;
 /// How long a run goes on after which what was lost before it is forgotten.
 const FORGIVEN: Duration = Duration::from_secs(60);
 
@@ -55,9 +59,10 @@
         let more = run.saturating_sub(self.limit);
         // Those that were excused may have been its doing as well: then the
         // starts since the third loss are so many more.
-        let may = MORE.saturating_sub(self.excused);
-        let all = self.lost + self.excused;
-        self.sudden >= SUDDEN
+        let may = MORE.saturating_sub(self.excused + self.silent);
+        let all = self.lost + self.excused + self.silent;
+        self.lost + self.silent >= UNHEARD
+            || self.sudden >= SUDDEN
             || self.lost >= LOST && more >= may
             || self.lost >= GIVEN_UP && all >= LOST + MORE
     }
@@ -157,10 +162,6 @@
         if never {
             return;
         }
-        if excused {
-            self.excuse(id, key, member);
-            return;
-        }
         let Some(entry) = self.jobs.get_mut(id) else {
             return;
         };
@@ -168,6 +169,11 @@
         let Some((run, loss)) = entry.loss(key, member) else {
             return;
         };
+        if excused {
+            loss.excused += 1;
+            self.touch(id);
+            return;
+        }
         // How long an earlier planner has seen it at work is not known; and
         // an agent that went with its worker tells nothing.
         let known = begun.is_some() && !announced && !member.adopted;
@@ -193,9 +199,9 @@
         }
     }
 
-    /// Counts the loss of a member's worker as one that may not have been its
-    /// task's doing; returns whether it was not counted before.
-    pub(super) fn excuse(
+    /// Counts the loss of a member's worker that only fell silent; returns
+    /// whether it was not counted before.
+    pub(super) fn count_silent(
         &mut self,
         id: &str,
         key: &UnitKey,
@@ -207,7 +213,7 @@
         let Some((_, loss)) = entry.loss(key, member) else {
             return false;
         };
-        loss.excused += 1;
+        loss.silent += 1;
         self.touch(id);
         true
     }
--- a/src/graph/progress.rs
+++ b/src/graph/progress.rs
@@ -107,6 +107,9 @@
     /// task was seen at work for long: they may have gone by themselves.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub excused: u32,
+    /// How many only fell silent: whether they went is not known.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub silent: u32,
     /// The run under which there were so many that its further ones count.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub limit: Run,
--- a/src/graph/silence.rs
+++ b/src/graph/silence.rs
@@ -56,7 +56,7 @@
         else {
             return;
         };
-        if never || !self.excuse(id, key, member) {
+        if never || !self.count_silent(id, key, member) {
             return;
         }
         self.silences.push(Silence {
@@ -121,7 +121,7 @@
         let Some(loss) = self.loss_of(silence) else {
             return;
         };
-        loss.excused = loss.excused.saturating_sub(1);
+        loss.silent = loss.silent.saturating_sub(1);
         loss.count();
         let loss = *loss;
         self.touch(id);
@@ -154,7 +154,7 @@
         };
         match counted {
             true => loss.lost = loss.lost.saturating_sub(1),
-            false => loss.excused = loss.excused.saturating_sub(1),
+            false => loss.silent = loss.silent.saturating_sub(1),
         }
         self.touch(&silence.job);
     }
--- a/tests/it/crashes.rs
+++ b/tests/it/crashes.rs
@@ -310,6 +310,32 @@
     }
 }
 
+#[test]
+fn a_task_under_which_all_fall_silent_is_given_up_whoever_plans() {
+    let mut site = Site::new(FOUR);
+    let bad = job("bad", 1, vec![step(1, 8, false)], &site);
+    site.submit(bad.clone());
+    let mut starts = 0;
+    while starts < 12 {
+        for _ in 0..3 {
+            round(&mut site);
+        }
+        if site.running("bad") == 0 {
+            break;
+        }
+        starts += 1;
+        let mut worker = fall_silent(&mut site, "bad");
+        // It never comes back; there is another one in its place.
+        worker.agent = format!("{}+", worker.agent).into();
+        worker.running.clear();
+        site.workers.push(worker);
+        round(&mut site);
+        hand_over(&mut site, &bad);
+    }
+    assert_eq!(site.outcome("bad"), Some(Outcome::Failed));
+    assert!(starts <= 6, "{starts} starts");
+}
+
 #[test]
 fn a_worker_that_was_silent_and_is_there_again_counts_against_nobody() {
     let mut site = Site::new(FOUR);
--- a/tests/it/explain.rs
+++ b/tests/it/explain.rs
@@ -194,6 +194,19 @@
         end: End::Late,
         cause: Cause::Gone,
     },
+    Case {
+        name: "late for a run whose worker was heard of no more",
+        lines: &[
+            r#"{"ts":"2026-01-01T00:00:00Z","msg":"entry: a job was submitted","job":"j","outcome":"Accepted"}"#,
+            r#"{"ts":"2026-01-01T00:00:00Z","msg":"planner: a unit is placed","job":"j","unit":"0.0","run":1,"expected_ms":2000}"#,
+            r#"{"ts":"2026-01-01T00:00:04Z","msg":"planner: a run has ended","job":"j","unit":"0.0","how":"worker silent","member":0,"ran_ms":20}"#,
+            r#"{"ts":"2026-01-01T00:00:05Z","msg":"planner: a unit is placed","job":"j","unit":"0.0","run":2,"expected_ms":2000}"#,
+            r#"{"ts":"2026-01-01T00:00:07Z","msg":"planner: a run has ended","job":"j","unit":"0.0","how":"done","member":0,"ran_ms":2000}"#,
+            r#"{"ts":"2026-01-01T00:00:07Z","msg":"planner: a job has ended","job":"j","outcome":"Succeeded","objective_ms":3000}"#,
+        ],
+        end: End::Late,
+        cause: Cause::Gone,
+    },
     Case {
         name: "failed on its workers",
         lines: &[
