--- a/crates/landingvalve-sim/tests/days.rs
+++ b/crates/landingvalve-sim/tests/days.rs
@@ -18,6 +18,9 @@
 /// A day on which one worker goes down under a task, and two others that run
 /// it are only not heard of for some seconds.
 const SILENT: u64 = 961101;
+/// A day on which a worker that was called silent turns out to have been down
+/// only to the next planner, under a task that takes workers down.
+const TAKEN_OVER: u64 = 970066;
 
 /// Plays a day that may break no promise; returns how many tasks began.
 fn play(seed: u64) -> u64 {
@@ -43,6 +46,11 @@
     play(SILENT);
 }
 
+#[test]
+fn a_loss_that_becomes_sure_under_the_next_planner_counts() {
+    play(TAKEN_OVER);
+}
+
 #[test]
 fn no_promise_is_broken_whatever_fails() {
     let days = (FIRST..FIRST + DAYS).chain(FOUND);
