--- a/src/cell/keys.rs
+++ b/src/cell/keys.rs
@@ -63,6 +63,23 @@
     format!("lv/queue/{queue}/{id}")
 }
 
+/// Returns what the key, or all keys with the prefix, are for.
+pub fn subject(key: &str) -> &'static str {
+    let Some(key) = key.strip_prefix("lv/") else {
+        return "operators";
+    };
+    match key.split('/').next() {
+        Some("planner") => "claim",
+        Some("strongest") => "strongest",
+        Some("in") => "intake",
+        Some("queue") => "queues",
+        Some("progress") => "progress",
+        Some("entry") => "entries",
+        Some("report") => "reports",
+        _ => "others",
+    }
+}
+
 /// A record that entries write for the planner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Intake<'a> {
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -116,6 +116,13 @@
 }
 
 impl Mutation {
+    /// Returns the written key.
+    pub fn key(&self) -> &str {
+        match self {
+            Mutation::Value(key, ..) | Mutation::Delete(key) => key,
+        }
+    }
+
     /// Returns the size of key and value in bytes.
     pub fn payload_bytes(&self) -> usize {
         match self {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod api;
 mod client;
+pub mod usage;
 
 pub use client::Change;
 pub use client::Client;
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -59,7 +59,7 @@
     describe("landingvalve_submissions", "Submissions, by outcome."),
     describe(
         "landingvalve_store_seconds",
-        "Time of a call of the platform's store, by call and outcome.",
+        "Time of a call of the platform's store, by call, subject, outcome.",
     ),
     describe("landingvalve_decisions", "Decisions of a planner, by kind."),
     describe(
