A simulation's clock holds no real time

Cause: the time for which the machine was suspended is the difference of two reads of clocks, so it held the real time between them. Change: where wall time is simulated, only added suspension counts.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -94,17 +94,28 @@
         .with(|suspended| suspended.set(suspended.get() + time));
 }
 
-/// Returns how long the machine has been suspended since it booted.
+/// Returns how long the machine has been suspended since it booted; in
+/// simulations, only the time that was added there.
 fn suspended() -> Duration {
+    let added = SIMULATED_SUSPENSION.with(Cell::get);
+    // The real time that passes between two reads of clocks would make two
+    // simulations of the same day differ.
+    match SIMULATED_WALL_TIME.with(Cell::get) {
+        Some(_) => added,
+        None => added + real_suspension(),
+    }
+}
+
+/// Returns how long the machine has been suspended, as the kernel counts it.
+fn real_suspension() -> Duration {
     let read = |clock| clock_gettime(clock).map(Duration::from);
     // The monotonic clock is read first: read second, it would include the
     // time between the reads and hide as much suspended time.
     let monotonic = read(ClockId::CLOCK_MONOTONIC);
     let boot_time = read(ClockId::CLOCK_BOOTTIME);
-    let real = match (monotonic, boot_time) {
+    match (monotonic, boot_time) {
         (Ok(monotonic), Ok(boot_time)) => boot_time.saturating_sub(monotonic),
         // A kernel without the boot-time clock reports no suspension.
         _ => Duration::ZERO,
-    };
-    real + SIMULATED_SUSPENSION.with(Cell::get)
+    }
 }
