The claim is watched from a position that moves on

Cause: an entry that does not plan watched the claim from the claim's own revision. Change: one watch of the claim for entries and agents, on the watch of keys that follows empty answers and lists after a forgotten position. An agent's next try costs one call, and it tries although the store is silent. Tests, on the code before: 514 calls of an entry in 40 s (now under 40), 397 calls of an agent for 133 tries (now one each).

--- a/src/cell/claim/mod.rs
+++ b/src/cell/claim/mod.rs
@@ -1,6 +1,8 @@
 //! The planner's claim: a key under a lease, whose revision is the fencing
 //! token.
 
+mod watch;
+
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -20,6 +22,9 @@
 use crate::store::Store;
 use crate::store::Swap;
 
+pub(super) use crate::cell::claim::watch::Event;
+pub(super) use crate::cell::claim::watch::Watch;
+
 /// How long a claim holds without renewal. Short, because nothing new starts
 /// until another process may claim; long compared to the store's slowest
 /// answers.
--- a/src/cell/configuration.rs
+++ b/src/cell/configuration.rs
@@ -26,6 +26,8 @@
 use crate::store::Store;
 use crate::telemetry::metrics;
 
+/// How long one call waits for a change of the operators' keys.
+const POLL_WAIT: Duration = Duration::from_millis(500);
 /// The delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 /// The longest time since the store's last answer while new callers are still
@@ -199,7 +201,7 @@
         log: slog::Logger,
     ) {
         let mut reached = true;
-        let mut watch = Watch::new(keys.prefix);
+        let mut watch = Watch::new(keys.prefix, POLL_WAIT);
         loop {
             let polled = self.poll(&store, &mut watch, &keys, &decode, &log);
             let polled = polled.await;
--- a/src/cell/member/link.rs
+++ b/src/cell/member/link.rs
@@ -4,16 +4,15 @@
 
 use tokio::time::Instant;
 
+use crate::cell::claim;
 use crate::cell::claim::Holder;
 use crate::cell::connector::Peer;
-use crate::cell::keys;
 use crate::cell::member::Member;
 use crate::cell::pause;
 use crate::cell::planner::REPORT_HOLD;
 use crate::cell::rpc::Answer;
 use crate::cell::worker::Worker;
 use crate::clock::BootInstant;
-use crate::store::Change;
 use crate::store::Item;
 use crate::store::Revision;
 use crate::store::Store;
@@ -35,17 +34,13 @@
 impl<W: Worker, S: Store> Member<W, S> {
     /// Reports to the holder of the claim. Never returns.
     pub(super) async fn follow_planner(&self) {
-        let mut failed_revision = 0;
+        let mut claims = claim::Watch::new(WATCH_WAIT);
         let mut rejections = 0;
+        let mut failed = None;
         loop {
-            let (holder, revision) = self.holder().await;
-            let Some(holder) = holder.filter(|_| revision != failed_revision)
-            else {
-                let until = Instant::now() + back_off(rejections);
-                self.wait_for_claim(revision, until).await;
-                failed_revision = 0;
-                continue;
-            };
+            let until = Instant::now() + back_off(rejections);
+            let (holder, revision) =
+                self.next_claim(&mut claims, failed, until).await;
             match self.0.config.connector.connect(&holder.address).await {
                 Ok(client) => {
                     rejections = 0;
@@ -68,54 +63,37 @@
                         "error" => %error, "turned_away" => rejections);
                 }
             }
-            // Another claim is preferred for the next try; this one is retried
-            // only after a while.
-            failed_revision = revision;
+            failed = Some((holder, revision));
             pause(RETRY_DELAY / 3).await;
         }
     }
 
-    /// Looks up the holder of the claim, and the claim's revision.
-    async fn holder(&self) -> (Option<Holder>, Revision) {
-        loop {
-            let get = self.0.store.get(keys::CLAIM);
-            match tokio::time::timeout(STORE_TIMEOUT, get).await {
-                Ok(Ok(Some(item))) => return (decode(&item), item.modified),
-                Ok(Ok(None)) => return (None, 0),
-                Ok(Err(_)) | Err(_) => pause(RETRY_DELAY).await,
-            }
-        }
-    }
-
-    /// Waits for a claim other than that of `revision`, for one watch call and
-    /// at least until `until`.
-    async fn wait_for_claim(&self, revision: Revision, until: Instant) {
-        if revision == 0 {
-            pause(RETRY_DELAY).await;
-            return;
-        }
+    /// Waits for a claim whose holder may be connected to: another one than
+    /// that of `failed`, or the same again after one watch call and not before
+    /// `until`.
+    async fn next_claim(
+        &self,
+        claims: &mut claim::Watch,
+        mut failed: Option<(Holder, Revision)>,
+        until: Instant,
+    ) -> (Holder, Revision) {
         loop {
-            let changes =
-                self.0.store.changes(keys::CLAIM, revision, WATCH_WAIT);
-            match tokio::time::timeout(WATCH_WAIT + STORE_TIMEOUT, changes)
-                .await
-            {
-                Ok(Ok(changes)) => {
-                    let gone = changes
-                        .changes
-                        .iter()
-                        .all(|change| matches!(change, Change::Deleted(..)));
-                    if gone {
-                        pause(RETRY_DELAY / 3).await;
-                    }
-                    if !changes.changes.is_empty() {
-                        return;
+            let event = claims.next(&self.0.store);
+            let event =
+                tokio::time::timeout(WATCH_WAIT + STORE_TIMEOUT, event);
+            match event.await {
+                Ok(Ok(claim::Event::Replaced(item))) => {
+                    failed = None;
+                    if let Some(holder) = decode(&item) {
+                        return (holder, item.modified);
                     }
                 }
+                Ok(Ok(claim::Event::Free)) => failed = None,
+                Ok(Ok(claim::Event::Same)) => {}
                 Ok(Err(_)) | Err(_) => pause(RETRY_DELAY).await,
             }
-            if Instant::now() >= until {
-                return;
+            if let Some(claim) = failed.take_if(|_| Instant::now() >= until) {
+                return claim;
             }
         }
     }
--- a/src/cell/session.rs
+++ b/src/cell/session.rs
@@ -147,18 +147,23 @@
     /// Claims whenever the claim is free, and plans while it holds, until
     /// `stop` is set.
     pub async fn run(self, stop: watch::Receiver<bool>) {
+        let mut claims = claim::Watch::new(WATCH_WAIT);
         while !*stop.borrow() {
             // A planner that reaches the store only through other entries
             // would be the first to lose contact, so the claim is left to
             // others.
             match self.store.is_direct() {
-                true => self.try_once(stop.clone()).await,
+                true => self.try_once(&mut claims, stop.clone()).await,
                 false => pause(RETRY_DELAY).await,
             }
         }
     }
 
-    async fn try_once(&self, mut stop: watch::Receiver<bool>) {
+    async fn try_once(
+        &self,
+        claims: &mut claim::Watch,
+        mut stop: watch::Receiver<bool>,
+    ) {
         let attempt = claim::try_claim(&self.store, &self.holder);
         match tokio::time::timeout(CALL_TIMEOUT * 2, attempt).await {
             Ok(Ok(Attempt::Held(claim))) => {
@@ -182,18 +187,29 @@
             }
             Ok(Ok(Attempt::Other(revision))) => tokio::select! {
                 biased;
-                () = self.wait_until_free(revision) => {}
+                () = self.wait_until_free(revision, claims) => {}
                 _ = stop.changed() => {}
             },
             Ok(Err(_)) | Err(_) => pause(RETRY_DELAY * 2).await,
         }
     }
 
-    /// Waits until the claim may be free.
-    async fn wait_until_free(&self, revision: Revision) {
-        let changes = self.store.changes(keys::CLAIM, revision, WATCH_WAIT);
-        if changes.await.is_err() {
-            pause(RETRY_DELAY).await;
+    /// Waits until the claim of a revision may be free.
+    async fn wait_until_free(
+        &self,
+        revision: Revision,
+        claims: &mut claim::Watch,
+    ) {
+        claims.follow(revision);
+        loop {
+            match claims.next(&self.store).await {
+                Ok(claim::Event::Same) => {}
+                Ok(claim::Event::Free | claim::Event::Replaced(_)) => return,
+                Err(_) => {
+                    pause(RETRY_DELAY).await;
+                    return;
+                }
+            }
         }
     }
 
--- a/src/cell/watch.rs
+++ b/src/cell/watch.rs
@@ -9,11 +9,9 @@
 use crate::store::Changes;
 use crate::store::Error;
 use crate::store::Listing;
+use crate::store::Revision;
 use crate::store::Store;
 
-/// How long one call waits for a change. While nothing changes, the keys are
-/// confirmed once in this time.
-const POLL_WAIT: Duration = Duration::from_millis(500);
 /// The delay beyond the requested wait from which an answer counts as late:
 /// the slowest of the store's answers observed.
 const LATE_ANSWER_DELAY: Duration = Duration::from_millis(250);
@@ -25,6 +23,9 @@
     prefix: &'a str,
     /// The position in the store's history; `None` if all keys must be read.
     cursor: Option<Cursor>,
+    /// How long a call waits for a change. While nothing changes, the keys are
+    /// confirmed once in this time.
+    poll_wait: Duration,
     /// How long the next call waits.
     wait: Duration,
 }
@@ -39,15 +40,23 @@
 }
 
 impl<'a> Watch<'a> {
-    /// Returns a watch that has read nothing yet.
-    pub fn new(prefix: &'a str) -> Watch<'a> {
+    /// Returns a watch that has read nothing yet. Its calls wait for
+    /// `poll_wait` while nothing changes.
+    pub fn new(prefix: &'a str, poll_wait: Duration) -> Watch<'a> {
         Watch {
             prefix,
             cursor: None,
+            poll_wait,
             wait: Duration::ZERO,
         }
     }
 
+    /// Continues after a revision whose state is known.
+    pub fn start_after(&mut self, revision: Revision) {
+        self.cursor = Some(Cursor::new(revision));
+        self.wait = self.poll_wait;
+    }
+
     /// Makes one call and returns the changes since the last one.
     ///
     /// # Errors
@@ -93,9 +102,9 @@
         // An answer that holds changes or came late does not show the present
         // state. The next call does not wait, so that a process that was
         // suspended learns the present state at once.
-        let late = sent.elapsed() > POLL_WAIT + LATE_ANSWER_DELAY;
+        let late = sent.elapsed() > self.poll_wait + LATE_ANSWER_DELAY;
         if changes.is_empty() && !late {
-            self.wait = POLL_WAIT;
+            self.wait = self.poll_wait;
         }
         changes
     }
