A call that is meant for another process is refused

What callers saw: a job that counts as done though it has never begun. Cause: agents and entries call addresses. When an entry has ended, one of another site may serve there; it took the stranger's report for one of its own agent of that name, and the ends it lists for its own tasks. Change: reports and store calls between entries name the life of the process they are meant for; the same fault in store calls by address is closed too.

--- a/crates/landingvalve-sim/src/day.rs
+++ b/crates/landingvalve-sim/src/day.rs
@@ -272,17 +272,19 @@
         let peers = Peers::new(&name, connector, log::none());
         let direct = self.store.client(&self.network, process);
         let store = Relay::new(direct, peers.clone(), log::none());
-        let host = Host::new().with_proxy(Arc::new(store.clone()));
+        let host = Host::new(&address, log::none())
+            .with_proxy(Arc::new(store.clone()));
         self.network.listen(&address, process, host.clone());
-        let following = peers.follow(store.clone(), address.clone());
+        let holder = Holder {
+            process: name,
+            address: address.clone(),
+            life: address,
+            cores: 1.0,
+        };
+        let following = peers.follow(store.clone(), holder.recipient());
         let session = Session {
             store: store.clone(),
-            holder: Holder {
-                process: name,
-                address: address.clone(),
-                life: address,
-                cores: 1.0,
-            },
+            holder,
             host,
             source: Source::new(),
             advice: None,
--- a/crates/landingvalve-sim/src/network.rs
+++ b/crates/landingvalve-sim/src/network.rs
@@ -11,6 +11,7 @@
 use jsonrpsee::core::async_trait;
 use landingvalve::cell::connector::Connector;
 use landingvalve::cell::connector::Peer;
+use landingvalve::cell::connector::Recipient;
 use landingvalve::cell::relay::call::Call;
 use landingvalve::cell::relay::call::Reply;
 use landingvalve::cell::rpc::Answer;
@@ -138,12 +139,16 @@
 
 #[async_trait]
 impl Connector for ProcessConnector {
-    async fn connect(&self, address: &str) -> Result<Arc<dyn Peer>, Error> {
+    async fn connect(
+        &self,
+        entry: &Recipient,
+    ) -> Result<Arc<dyn Peer>, Error> {
+        let address = &entry.address;
         tokio::time::sleep(MESSAGE_TIME * 2).await;
         match self.network.find_host(self.process, address) {
             Some(_) => Ok(Arc::new(Connection {
                 connector: self.clone(),
-                address: address.to_owned(),
+                entry: entry.clone(),
             })),
             None => {
                 tokio::time::sleep(CONNECT_TIMEOUT).await;
@@ -155,7 +160,7 @@
 
 struct Connection {
     connector: ProcessConnector,
-    address: String,
+    entry: Recipient,
 }
 
 impl Connection {
@@ -163,7 +168,7 @@
     /// or dead, because such a machine does not even reset its connections.
     async fn host(&self) -> Host {
         let ProcessConnector { network, process } = &self.connector;
-        match network.find_host(*process, &self.address) {
+        match network.find_host(*process, &self.entry.address) {
             Some(host) => host,
             None => std::future::pending().await,
         }
@@ -173,13 +178,13 @@
 #[async_trait]
 impl Peer for Connection {
     async fn sync(&self, report: Report) -> Result<Answer, Error> {
-        let error = |e: serde_json::Error| Error::new(&self.address, e);
+        let error = |e: serde_json::Error| Error::new(&self.entry.address, e);
         let sent = serde_json::to_vec(&report).map_err(error)?;
         tokio::time::sleep(MESSAGE_TIME).await;
         let host = self.host().await;
         let report = serde_json::from_slice(&sent).map_err(error)?;
-        let answer = host.sync(report).await;
-        let answer = answer.map_err(|e| Error::new(&self.address, e))?;
+        let answer = host.sync(report, Some(self.entry.life.clone())).await;
+        let answer = answer.map_err(|e| Error::new(&self.entry.address, e))?;
         let sent = serde_json::to_vec(&answer).map_err(error)?;
         tokio::time::sleep(MESSAGE_TIME).await;
         self.host().await;
@@ -187,13 +192,13 @@
     }
 
     async fn store(&self, call: Call) -> Result<Reply, Error> {
-        let error = |e: serde_json::Error| Error::new(&self.address, e);
+        let error = |e: serde_json::Error| Error::new(&self.entry.address, e);
         let sent = serde_json::to_vec(&call).map_err(error)?;
         tokio::time::sleep(MESSAGE_TIME).await;
         let host = self.host().await;
         let call = serde_json::from_slice(&sent).map_err(error)?;
-        let reply = host.store(call).await;
-        let reply = reply.map_err(|e| Error::new(&self.address, e))?;
+        let reply = host.store(call, Some(self.entry.life.clone())).await;
+        let reply = reply.map_err(|e| Error::new(&self.entry.address, e))?;
         let sent = serde_json::to_vec(&reply).map_err(error)?;
         tokio::time::sleep(MESSAGE_TIME).await;
         self.host().await;
--- a/src/cell/claim/mod.rs
+++ b/src/cell/claim/mod.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::cell::connector::Recipient;
 use crate::cell::keys;
 use crate::clock::BootInstant;
 use crate::store::Compare;
@@ -58,6 +59,16 @@
     pub cores: f64,
 }
 
+impl Holder {
+    /// Returns the process as the recipient of reports.
+    pub fn recipient(&self) -> Recipient {
+        Recipient {
+            address: self.address.clone(),
+            life: self.life.clone(),
+        }
+    }
+}
+
 /// A claim held by this process.
 #[derive(Clone, Debug)]
 pub struct Claim {
--- a/src/cell/claim/watch.rs
+++ b/src/cell/claim/watch.rs
@@ -64,8 +64,8 @@
         };
         let absent = batch.is_listing;
         let changes = batch.changes.into_iter();
-        let latest = changes.filter(|change| change.key() == keys::CLAIM);
-        Ok(match latest.last() {
+        let mut latest = changes.filter(|change| change.key() == keys::CLAIM);
+        Ok(match latest.next_back() {
             Some(Change::Put(item)) if item.modified > self.claim => {
                 self.claim = item.modified;
                 Event::Replaced(item)
--- a/src/cell/connector.rs
+++ b/src/cell/connector.rs
@@ -7,6 +7,8 @@
 
 use jsonrpsee::core::async_trait;
 use jsonrpsee::ws_client::WsClient;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::cell::relay::call::Call;
 use crate::cell::relay::call::Reply;
@@ -16,6 +18,30 @@
 use crate::wire::link;
 use crate::wire::link::Error;
 
+/// The entry that calls are meant for.
+///
+/// An address alone does not name an entry: after the entry has ended, an
+/// entry of another site may serve at the same address.
+#[derive(
+    Clone,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+)]
+pub struct Recipient {
+    /// The address at which the entry serves calls.
+    pub address: String,
+    /// The life of the entry's process, drawn at random at each start; empty
+    /// if not known.
+    #[serde(default)]
+    pub life: String,
+}
+
 /// A connection to an entry.
 #[async_trait]
 pub trait Peer: Send + Sync {
@@ -37,12 +63,13 @@
 /// Opens connections to entries.
 #[async_trait]
 pub trait Connector: Debug + Send + Sync {
-    /// Opens a new connection to `address`.
+    /// Opens a new connection to an entry.
     ///
     /// # Errors
     ///
     /// If no connection can be made.
-    async fn connect(&self, address: &str) -> Result<Arc<dyn Peer>, Error>;
+    async fn connect(&self, entry: &Recipient)
+        -> Result<Arc<dyn Peer>, Error>;
 }
 
 /// Connections over the network.
@@ -51,27 +78,37 @@
 
 #[async_trait]
 impl Connector for Network {
-    async fn connect(&self, address: &str) -> Result<Arc<dyn Peer>, Error> {
-        let client = link::connect(address).await?;
-        let address = address.to_owned();
-        Ok(Arc::new(Remote { address, client }))
+    async fn connect(
+        &self,
+        entry: &Recipient,
+    ) -> Result<Arc<dyn Peer>, Error> {
+        let client = link::connect(&entry.address).await?;
+        let entry = entry.clone();
+        Ok(Arc::new(Remote { entry, client }))
     }
 }
 
 struct Remote {
-    address: String,
+    entry: Recipient,
     client: Arc<WsClient>,
 }
 
+impl Remote {
+    fn life(&self) -> Option<String> {
+        Some(self.entry.life.clone())
+    }
+}
+
 #[async_trait]
 impl Peer for Remote {
     async fn sync(&self, report: Report) -> Result<Answer, Error> {
-        let answer = CellClient::sync(&*self.client, report).await;
-        answer.map_err(|error| Error::new(&self.address, error))
+        let answer =
+            CellClient::sync(&*self.client, report, self.life()).await;
+        answer.map_err(|error| Error::new(&self.entry.address, error))
     }
 
     async fn store(&self, call: Call) -> Result<Reply, Error> {
-        let reply = CellClient::store(&*self.client, call).await;
-        reply.map_err(|error| Error::new(&self.address, error))
+        let reply = CellClient::store(&*self.client, call, self.life()).await;
+        reply.map_err(|error| Error::new(&self.entry.address, error))
     }
 }
--- a/src/cell/member/link.rs
+++ b/src/cell/member/link.rs
@@ -41,7 +41,8 @@
             let until = Instant::now() + back_off(rejections);
             let (holder, revision) =
                 self.next_claim(&mut claims, failed, until).await;
-            match self.0.config.connector.connect(&holder.address).await {
+            let planner = holder.recipient();
+            match self.0.config.connector.connect(&planner).await {
                 Ok(client) => {
                     rejections = 0;
                     slog::info!(self.0.config.log,
--- a/src/cell/relay/peers.rs
+++ b/src/cell/relay/peers.rs
@@ -8,12 +8,11 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::time::Instant;
 
 use crate::cell::connector::Connector;
 use crate::cell::connector::Peer;
+use crate::cell::connector::Recipient;
 use crate::cell::keys;
 use crate::cell::pause;
 use crate::cell::relay::call::unanswered;
@@ -51,20 +50,13 @@
 /// The delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// An entry's registration.
-#[derive(Debug, Serialize, Deserialize)]
-struct Entry {
-    /// The address at which the entry serves calls.
-    address: String,
-}
-
 #[derive(Default)]
 struct State {
-    /// The addresses of the other entries.
-    addresses: Vec<String>,
-    connections: BTreeMap<String, Arc<dyn Peer>>,
+    /// The other entries.
+    others: Vec<Recipient>,
+    connections: BTreeMap<Recipient, Arc<dyn Peer>>,
     /// The entry that answered last.
-    last_answered: Option<String>,
+    last_answered: Option<Recipient>,
     /// Until when no peer is asked.
     paused_until: Option<Instant>,
 }
@@ -84,7 +76,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Peers")
             .field("process", &self.0.process)
-            .field("addresses", &self.lock().addresses)
+            .field("others", &self.lock().others)
             .finish_non_exhaustive()
     }
 }
@@ -104,13 +96,13 @@
         }))
     }
 
-    /// Registers this entry under `address`, and keeps the list of the others
-    /// up to date. Never returns.
-    pub async fn follow(self, store: impl Store, address: String) {
+    /// Registers this entry as `own`, and keeps the list of the others up to
+    /// date. Never returns.
+    pub async fn follow(self, store: impl Store, own: Recipient) {
         let mut lease = None;
         let mut wait = MAX_FIRST_READ_DELAY;
         loop {
-            match self.register(&store, &address, lease).await {
+            match self.register(&store, &own, lease).await {
                 Ok(registered) => {
                     lease = Some(registered);
                     pause(wait / 2).await;
@@ -130,7 +122,7 @@
     async fn register(
         &self,
         store: &impl Store,
-        address: &str,
+        own: &Recipient,
         lease: Option<LeaseId>,
     ) -> Result<LeaseId, Error> {
         match lease {
@@ -138,10 +130,7 @@
             _ => {}
         }
         let lease = store.grant(ENTRY_TTL).await?;
-        let entry = Entry {
-            address: address.to_owned(),
-        };
-        let value = serde_json::to_vec(&entry).unwrap_or_default();
+        let value = serde_json::to_vec(own).unwrap_or_default();
         let key = keys::entry(&self.0.process);
         store
             .swap(&[], vec![Mutation::Value(key, value, lease)])
@@ -161,15 +150,11 @@
         };
         let own = keys::entry(&self.0.process);
         let others = listing.items.iter().filter(|item| item.key != own);
-        let entries = others.map(|item| serde_json::from_slice(&item.value));
-        let entries = entries.filter_map(Result::ok);
-        let addresses: Vec<String> =
-            entries.map(|entry: Entry| entry.address).collect();
+        let others = others.map(|item| serde_json::from_slice(&item.value));
+        let others: Vec<Recipient> = others.filter_map(Result::ok).collect();
         let mut state = self.lock();
-        state
-            .connections
-            .retain(|address, _| addresses.contains(address));
-        state.addresses = addresses;
+        state.connections.retain(|entry, _| others.contains(entry));
+        state.others = others;
     }
 
     /// Asks peers to make a call. Returns `None` if none of them could.
@@ -177,8 +162,8 @@
         &self,
         call: &Call,
     ) -> Option<Result<Answer, Error>> {
-        for address in self.candidates() {
-            let reply = self.ask_one(&address, call).await;
+        for entry in self.candidates() {
+            let reply = self.ask_one(&entry, call).await;
             let outcome = match &reply {
                 Ok(Reply::Done(_)) => "done",
                 Ok(Reply::Forgotten(_)) => "forgotten",
@@ -191,7 +176,7 @@
             metrics::get().relayed.add(1, &[label("outcome", outcome)]);
             slog::debug!(self.0.log,
                 "store: a call was made through another entry";
-                "call" => call.word(), "by" => &address,
+                "call" => call.word(), "by" => &entry.address,
                 "outcome" => outcome);
             let answer = match reply {
                 Ok(Reply::Done(answer)) => Ok(answer),
@@ -199,11 +184,11 @@
                 Ok(Reply::Unsure) | Err(Failure::NoAnswer)
                     if !call.is_repeatable() =>
                 {
-                    Err(unanswered(&address))
+                    Err(unanswered(&entry.address))
                 }
                 _ => continue,
             };
-            self.lock().last_answered = Some(address);
+            self.lock().last_answered = Some(entry);
             return Some(answer);
         }
         let mut state = self.lock();
@@ -214,16 +199,16 @@
 
     /// Returns the peers to ask, in order: the last one that answered, then
     /// others at random.
-    fn candidates(&self) -> Vec<String> {
+    fn candidates(&self) -> Vec<Recipient> {
         let state = self.lock();
         let now = Instant::now();
         if state.paused_until.is_some_and(|until| now < until) {
             return Vec::new();
         }
-        let mut others = state.addresses.clone();
+        let mut others = state.others.clone();
         fastrand::shuffle(&mut others);
         if let Some(last) = &state.last_answered {
-            others.sort_by_key(|address| address != last);
+            others.sort_by_key(|entry| entry != last);
         }
         others.truncate(MAX_PEERS_PER_CALL);
         others
@@ -231,36 +216,34 @@
 
     async fn ask_one(
         &self,
-        address: &str,
+        entry: &Recipient,
         call: &Call,
     ) -> Result<Reply, Failure> {
         let connection =
-            self.connection(address).await.ok_or(Failure::NotAsked)?;
+            self.connection(entry).await.ok_or(Failure::NotAsked)?;
         let limit = call.wait() + ANSWER_SLACK;
         let reply =
             tokio::time::timeout(limit, connection.store(call.clone()));
         match reply.await {
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(_)) | Err(_) => {
-                self.lock().connections.remove(address);
+                self.lock().connections.remove(entry);
                 Err(Failure::NoAnswer)
             }
         }
     }
 
-    async fn connection(&self, address: &str) -> Option<Arc<dyn Peer>> {
-        if let Some(connection) = self.lock().connections.get(address) {
+    async fn connection(&self, entry: &Recipient) -> Option<Arc<dyn Peer>> {
+        if let Some(connection) = self.lock().connections.get(entry) {
             return Some(connection.clone());
         }
         let connecting = tokio::time::timeout(
             CONNECT_TIMEOUT,
-            self.0.connector.connect(address),
+            self.0.connector.connect(entry),
         );
         let connection = connecting.await.ok()?.ok()?;
         let mut state = self.lock();
-        state
-            .connections
-            .insert(address.to_owned(), connection.clone());
+        state.connections.insert(entry.clone(), connection.clone());
         Some(connection)
     }
 
--- a/src/cell/rpc.rs
+++ b/src/cell/rpc.rs
@@ -28,16 +28,21 @@
     },
 }
 
-/// The calls that an entry serves.
+/// The calls that an entry serves. `to` is the life of the process that the
+/// call is meant for; callers of earlier versions do not name it.
 #[rpc(client, server, namespace = "cell")]
 pub trait Cell {
     /// Applies a report, and answers when there are orders, or after a short
     /// wait.
     #[method(name = "sync")]
-    async fn sync(&self, report: Report) -> RpcResult<Answer>;
+    async fn sync(
+        &self,
+        report: Report,
+        to: Option<String>,
+    ) -> RpcResult<Answer>;
 
     /// Makes a store call for a process whose direct path to the store is
     /// unusable.
     #[method(name = "store")]
-    async fn store(&self, call: Call) -> RpcResult<Reply>;
+    async fn store(&self, call: Call, to: Option<String>) -> RpcResult<Reply>;
 }
--- a/src/cell/session.rs
+++ b/src/cell/session.rs
@@ -31,6 +31,7 @@
 use crate::cell::rpc::CellServer;
 use crate::graph::Options;
 use crate::graph::Report;
+use crate::log::Throttle;
 use crate::store::Changes;
 use crate::store::Error;
 use crate::store::Listing;
@@ -53,23 +54,28 @@
 const STARTUP_WAIT: Duration = Duration::from_millis(600);
 
 /// The planner of this process, while it hosts one.
+///
+/// Calls that are meant for another process are refused. Otherwise, an agent
+/// or entry of another site that calls an address where this process now
+/// serves would have its runs and writes counted here.
 #[derive(Clone)]
 pub struct Host {
+    /// The life of this process.
+    life: String,
+    misdirected: Arc<Throttle>,
+    log: slog::Logger,
     current: watch::Sender<Option<ActorRef<Message>>>,
     /// Makes store calls for other processes, if set.
     proxy: Option<Arc<dyn Proxy>>,
 }
 
-impl Default for Host {
-    fn default() -> Host {
-        Host::new()
-    }
-}
-
 impl Host {
-    /// Returns a host without a planner.
-    pub fn new() -> Host {
+    /// Returns a host without a planner, in the process of a life.
+    pub fn new(life: &str, log: slog::Logger) -> Host {
         Host {
+            life: life.to_owned(),
+            misdirected: Arc::default(),
+            log,
             current: watch::Sender::new(None),
             proxy: None,
         }
@@ -88,6 +94,17 @@
         self.current.send_replace(planner);
     }
 
+    /// Returns whether a call is meant for this process.
+    fn is_recipient(&self, to: Option<&str>) -> bool {
+        let here = to.is_none_or(|to| to.is_empty() || to == self.life);
+        if !here && self.misdirected.try_acquire() {
+            slog::warn!(self.log,
+                "entry: a call is meant for another process";
+                "to" => to, "life" => &self.life);
+        }
+        here
+    }
+
     async fn wait_for_planner(&self) -> Option<ActorRef<Message>> {
         let mut current = self.current.subscribe();
         let hosted = current.wait_for(Option::is_some);
@@ -100,7 +117,14 @@
 
 #[async_trait]
 impl CellServer for Host {
-    async fn sync(&self, report: Report) -> RpcResult<Answer> {
+    async fn sync(
+        &self,
+        report: Report,
+        to: Option<String>,
+    ) -> RpcResult<Answer> {
+        if !self.is_recipient(to.as_deref()) {
+            return Ok(Answer::NotPlanner);
+        }
         let Some(planner) = self.wait_for_planner().await else {
             return Ok(Answer::NotPlanner);
         };
@@ -116,10 +140,12 @@
         }
     }
 
-    async fn store(&self, call: Call) -> RpcResult<Reply> {
+    async fn store(&self, call: Call, to: Option<String>) -> RpcResult<Reply> {
         Ok(match &self.proxy {
-            Some(proxy) => proxy.serve(call).await,
-            None => Reply::Away,
+            Some(proxy) if self.is_recipient(to.as_deref()) => {
+                proxy.serve(call).await
+            }
+            _ => Reply::Away,
         })
     }
 }
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -819,7 +819,8 @@
         cores: f64,
         log: slog::Logger,
     ) -> Entry {
-        let host = Host::new();
+        let life = uuid::Uuid::new_v4().simple().to_string();
+        let host = Host::new(&life, log.clone());
         let any = ([127, 0, 0, 1], 0).into();
         let server = Server::start(any, host.clone(), limits, log.clone());
         let server = server.await.expect("a free port");
@@ -829,7 +830,7 @@
             holder: Holder {
                 process: name.to_owned(),
                 address,
-                life: "life".to_owned(),
+                life,
                 cores,
             },
             host,
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -18,6 +18,7 @@
 mod guarantees;
 mod in_touch;
 mod limits;
+mod misdirected;
 mod near;
 mod odd_jobs;
 mod order;
--- a/tests/it/ordered.rs
+++ b/tests/it/ordered.rs
@@ -12,6 +12,7 @@
 use landingvalve::cell::claim::Holder;
 use landingvalve::cell::connector::Connector;
 use landingvalve::cell::connector::Peer;
+use landingvalve::cell::connector::Recipient;
 use landingvalve::cell::keys;
 use landingvalve::cell::member::Config;
 use landingvalve::cell::member::Heartbeat;
@@ -135,7 +136,10 @@
 
 #[async_trait]
 impl Connector for Planner {
-    async fn connect(&self, _address: &str) -> Result<Arc<dyn Peer>, Error> {
+    async fn connect(
+        &self,
+        _entry: &Recipient,
+    ) -> Result<Arc<dyn Peer>, Error> {
         Ok(Arc::new(self.clone()))
     }
 }
--- a/tests/it/relay.rs
+++ b/tests/it/relay.rs
@@ -16,6 +16,7 @@
 use jsonrpsee::core::async_trait;
 use landingvalve::cell::connector::Connector;
 use landingvalve::cell::connector::Peer;
+use landingvalve::cell::connector::Recipient;
 use landingvalve::cell::relay::call::Call;
 use landingvalve::cell::relay::call::Reply;
 use landingvalve::cell::relay::Peers;
@@ -162,8 +163,9 @@
 impl Connector for LocalNetwork {
     async fn connect(
         &self,
-        address: &str,
+        entry: &Recipient,
     ) -> Result<Arc<dyn Peer>, link::Error> {
+        let address = &entry.address;
         let network = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         match network.get(address) {
             Some(carrier) => Ok(Arc::new(Connection(carrier.clone()))),
@@ -209,7 +211,11 @@
             network.0.lock().unwrap_or_else(PoisonError::into_inner);
         known.insert(name.clone(), Arc::new(relay.clone()));
         drop(known);
-        tokio::spawn(peers.follow(relay.clone(), name));
+        let own = Recipient {
+            address: name,
+            life: String::new(),
+        };
+        tokio::spawn(peers.follow(relay.clone(), own));
         site.push((relay, link));
     }
     tokio::time::sleep(Duration::from_secs(4)).await;
