A configuration is confirmed when a request needs it

Cause: every entry confirmed the configuration twice a second whatever bound it serves: 183 entries made 366 calls a second at rest. Change: a watch waits for the bound less what may come after it (500 ms of 2 s as before, 3.25 s of 5 s). A request that finds the last confirmation too old asks the store at once, without a wait; the bound on what it is answered by is as before (0.9 of the shorter bound, from the call's start). Readiness no longer asks for a recent confirmation, but for an answer within the watch's wait and 0.7 s, and 0.7 s after the first failed call.

--- a/src/cell/configuration.rs
+++ b/src/cell/configuration.rs
@@ -26,13 +26,21 @@
 use crate::store::Store;
 use crate::telemetry::metrics;
 
-/// How long one call waits for a change of the operators' keys.
-const POLL_WAIT: Duration = Duration::from_millis(500);
+/// The share of the time for applying a change for which a confirmed
+/// configuration is used.
+const TRUSTED_SHARE: f64 = 0.9;
+/// The part of the time for applying a change that a watch leaves for what may
+/// come after it: a second in which a store that is about to drop its history
+/// reports no changes, a call that is lost, and the read of all keys.
+const APPLY_RESERVE: Duration = Duration::from_millis(1750);
+/// The least part of the time for applying a change for which a watch waits.
+const MIN_WAIT_SHARE: f64 = 0.25;
 /// The delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
-/// The longest time since the store's last answer while new callers are still
-/// accepted: one waiting call, one lost call, and the slowest answer observed.
-const CONTACT_TIMEOUT: Duration = Duration::from_millis(1200);
+/// The longest time after the end of a watch in which the store answers: one
+/// lost call, and the slowest answer observed. Without an answer by then new
+/// callers are better served by another entry.
+const CONTACT_SLACK: Duration = Duration::from_millis(700);
 
 /// A queue to which callers submit jobs.
 #[derive(Clone, Debug, PartialEq)]
@@ -111,8 +119,8 @@
     latest_revision: Revision,
     /// When the last call that confirmed the configuration was sent.
     confirmed: Option<BootInstant>,
-    /// When the store last answered.
-    last_answer: Option<BootInstant>,
+    /// Until when the store counts as reached without another answer.
+    reached_until: Option<BootInstant>,
 }
 
 /// The configuration as this process has read it. The version in use never
@@ -122,6 +130,22 @@
     state: Arc<Mutex<State>>,
     /// Notified after each call that confirmed the configuration.
     confirmations: Arc<Notify>,
+    /// Notified when a request needs a more recent confirmation.
+    requests: Arc<Notify>,
+}
+
+/// Returns the greatest age of a confirmation at which a configuration is
+/// used, if a change must be in force within `bound`.
+pub fn max_age(bound: Duration) -> Duration {
+    bound.mul_f64(TRUSTED_SHARE)
+}
+
+/// Returns how long a watch waits for changes that must be in force within
+/// `bound`.
+fn poll_wait(bound: Duration) -> Duration {
+    bound
+        .saturating_sub(APPLY_RESERVE)
+        .max(bound.mul_f64(MIN_WAIT_SHARE))
 }
 
 impl Source {
@@ -156,7 +180,8 @@
     }
 
     /// Returns the configuration once it was confirmed at most `max_age`
-    /// ago, or `None` at `until`.
+    /// ago, or `None` at `until`. Asks the store if the last confirmation is
+    /// older: an entry without callers confirms less often.
     pub async fn wait_fresh(
         &self,
         max_age: Duration,
@@ -167,6 +192,7 @@
             if let Some(fresh) = self.fresh(max_age) {
                 return Some(fresh);
             }
+            self.requests.notify_one();
             tokio::time::timeout_at(until, confirmed).await.ok()?;
         }
     }
@@ -176,10 +202,10 @@
     /// entry.
     pub fn is_in_contact(&self) -> bool {
         let state = self.lock();
-        let in_contact = state
-            .last_answer
-            .is_some_and(|answered| answered.elapsed() <= CONTACT_TIMEOUT);
-        in_contact && state.confirmed.is_some() && state.current.is_some()
+        let in_contact =
+            state.reached_until.is_some_and(BootInstant::is_future);
+        let is_latest = state.latest_revision == state.revision;
+        in_contact && is_latest && state.current.is_some()
     }
 
     /// Returns the time since the last confirmation in ms, for log lines.
@@ -191,17 +217,19 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Follows the operators' keys. Never returns.
+    /// Follows the operators' keys, whose changes must be in force within
+    /// `bound`. Never returns.
     pub async fn follow<E: std::fmt::Display>(
         self,
         store: impl Store,
         keys: Keys,
+        bound: Duration,
         decode: impl Fn(&[u8]) -> Result<Configuration, E>,
         reachability: Reachability,
         log: slog::Logger,
     ) {
         let mut reached = true;
-        let mut watch = Watch::new(keys.prefix, POLL_WAIT);
+        let mut watch = Watch::new(keys.prefix, poll_wait(bound));
         loop {
             let polled = self.poll(&store, &mut watch, &keys, &decode, &log);
             let polled = polled.await;
@@ -223,6 +251,7 @@
             reached = failed.is_none();
             reachability.set(reached);
             if !reached {
+                self.expect_answer_soon();
                 pause(RETRY_DELAY).await;
             }
         }
@@ -238,8 +267,9 @@
         log: &slog::Logger,
     ) -> Result<(), Error> {
         let sent = BootInstant::now();
-        let batch = match watch.next(store).await {
-            Ok(batch) => batch,
+        let batch = match self.next_batch(store, watch).await {
+            Ok(Some(batch)) => batch,
+            Ok(None) => return Ok(()),
             Err(Error::Forgotten(revision)) => {
                 slog::info!(log,
                     "configuration: changes were missed, reading all";
@@ -258,10 +288,37 @@
                 _ => {}
             }
         }
-        self.confirm(sent);
+        self.confirm(sent, watch.poll_wait());
         Ok(())
     }
 
+    /// Makes one watch call, and meanwhile confirms the configuration whenever
+    /// a request needs it. Returns `None` if that showed that the watch has to
+    /// be made again.
+    async fn next_batch(
+        &self,
+        store: &impl Store,
+        watch: &mut Watch<'_>,
+    ) -> Result<Option<Batch>, Error> {
+        let poll_wait = watch.poll_wait();
+        let Some(check) = watch.check() else {
+            return watch.next(store).await.map(Some);
+        };
+        let mut next = std::pin::pin!(watch.next(store));
+        loop {
+            tokio::select! {
+                biased;
+                batch = &mut next => return batch.map(Some),
+                () = self.requests.notified() => {}
+            }
+            let sent = BootInstant::now();
+            match check.is_unchanged(store).await? {
+                true => self.confirm(sent, poll_wait),
+                false => return Ok(None),
+            }
+        }
+    }
+
     /// Updates the set of closed halls.
     fn update_closed(&self, batch: &Batch, keys: &Keys, log: &slog::Logger) {
         let mut state = self.lock();
@@ -321,10 +378,20 @@
         }
     }
 
-    /// Records that everything written before `sent` has been read.
-    fn confirm(&self, sent: BootInstant) {
+    /// Records that a call has failed. Callers are accepted for a short while
+    /// longer, as a single call may be lost.
+    fn expect_answer_soon(&self) {
+        let mut state = self.lock();
+        let until = BootInstant::now() + CONTACT_SLACK;
+        state.reached_until = state.reached_until.min(Some(until));
+    }
+
+    /// Records that everything written before `sent` has been read, and that
+    /// the next answer comes within `poll_wait`.
+    fn confirm(&self, sent: BootInstant, poll_wait: Duration) {
         let mut state = self.lock();
-        state.last_answer = Some(BootInstant::now());
+        let until = BootInstant::now() + poll_wait + CONTACT_SLACK;
+        state.reached_until = state.reached_until.max(Some(until));
         // A version that cannot be decoded does not count as confirmed.
         if state.latest_revision == state.revision {
             state.confirmed = Some(sent);
--- a/src/cell/watch.rs
+++ b/src/cell/watch.rs
@@ -39,6 +39,34 @@
     pub changes: Vec<Change>,
 }
 
+/// A check for changes that does not wait.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Check<'a> {
+    prefix: &'a str,
+    /// The revision up to which all changes are known.
+    after: Revision,
+}
+
+impl Check<'_> {
+    /// Returns whether nothing has changed. A dropped history counts as a
+    /// change.
+    ///
+    /// # Errors
+    ///
+    /// If the store does not answer.
+    pub async fn is_unchanged(
+        &self,
+        store: &impl Store,
+    ) -> Result<bool, Error> {
+        let changes = store.changes(self.prefix, self.after, Duration::ZERO);
+        match changes.await {
+            Ok(changes) => Ok(changes.changes.is_empty()),
+            Err(Error::Forgotten(_)) => Ok(false),
+            Err(error) => Err(error),
+        }
+    }
+}
+
 impl<'a> Watch<'a> {
     /// Returns a watch that has read nothing yet. Its calls wait for
     /// `poll_wait` while nothing changes.
@@ -57,6 +85,19 @@
         self.wait = self.poll_wait;
     }
 
+    /// Returns how long a call waits while nothing changes.
+    pub fn poll_wait(&self) -> Duration {
+        self.poll_wait
+    }
+
+    /// Returns a check for changes after the present position, unless all keys
+    /// have to be read.
+    pub fn check(&self) -> Option<Check<'a>> {
+        let after = self.cursor.as_ref()?.after();
+        let prefix = self.prefix;
+        Some(Check { prefix, after })
+    }
+
     /// Makes one call and returns the changes since the last one.
     ///
     /// # Errors
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -859,6 +859,9 @@
     }
 }
 
+/// The time within which a configuration must be in force in these tests.
+pub const CONFIGURATION_BOUND: Duration = Duration::from_millis(2000);
+
 /// The store keys of the configuration in these tests.
 pub const CONFIGURATION_KEYS: Keys = Keys {
     prefix: "key",
--- a/tests/it/closed.rs
+++ b/tests/it/closed.rs
@@ -15,6 +15,7 @@
 use landingvalve::store::Store;
 
 use crate::cell::Memory;
+use crate::cell::CONFIGURATION_BOUND;
 use crate::cell::CONFIGURATION_KEYS;
 use crate::graph::job;
 use crate::graph::step;
@@ -106,6 +107,7 @@
     let follow = source.clone().follow(
         store.clone(),
         CONFIGURATION_KEYS,
+        CONFIGURATION_BOUND,
         decode,
         Reachability::new(),
         log::none(),
--- a/tests/it/in_touch.rs
+++ b/tests/it/in_touch.rs
@@ -10,6 +10,7 @@
 use landingvalve::store::Store;
 
 use crate::cell::Memory;
+use crate::cell::CONFIGURATION_BOUND;
 use crate::cell::CONFIGURATION_KEYS;
 
 #[tokio::test(start_paused = true)]
@@ -23,6 +24,7 @@
     let follow = source.clone().follow(
         store.clone(),
         CONFIGURATION_KEYS,
+        CONFIGURATION_BOUND,
         decode,
         Reachability::new(),
         log::none(),
--- a/tests/it/suspended.rs
+++ b/tests/it/suspended.rs
@@ -26,6 +26,7 @@
 use crate::cell::Entry;
 use crate::cell::FakeWorker;
 use crate::cell::Memory;
+use crate::cell::CONFIGURATION_BOUND;
 use crate::cell::CONFIGURATION_KEYS;
 use crate::cell::SUCCEEDED;
 use crate::support::until;
@@ -104,6 +105,7 @@
     let follow = source.clone().follow(
         store.clone(),
         CONFIGURATION_KEYS,
+        CONFIGURATION_BOUND,
         decode,
         Reachability::new(),
         log::none(),
