The silence of a watch is asked by a read before a path is given up

Change: after a silent watch the store is asked by a read; if that is answered, the keys are listed and the path stays in use. A watch ends as soon as other calls show that the path is unusable, so the claim can be watched for 20 s a call; through other entries, and while the store is unsure, for 2 s.

--- a/src/cell/relay/call.rs
+++ b/src/cell/relay/call.rs
@@ -61,6 +61,25 @@
         }
     }
 
+    /// Returns the revision after which changes are requested, 0 if none are.
+    pub fn after(&self) -> Revision {
+        match self {
+            Call::Changes(_, after, _) => *after,
+            _ => 0,
+        }
+    }
+
+    /// Returns the call with a shorter wait for the store, if its wait is
+    /// longer than `limit`.
+    pub fn with_wait_at_most(&self, limit: Duration) -> Call {
+        match self {
+            Call::Changes(prefix, after, wait) => {
+                Call::Changes(prefix.clone(), *after, limit.min(*wait))
+            }
+            call => call.clone(),
+        }
+    }
+
     /// Returns the call's name in logs.
     pub fn word(&self) -> &'static str {
         match self {
--- a/src/cell/relay/direct.rs
+++ b/src/cell/relay/direct.rs
@@ -1,11 +1,12 @@
 //! Whether the store answers this process directly.
 
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::watch;
+
 use crate::cell::keys;
 use crate::cell::pause;
 use crate::store::Store;
@@ -22,7 +23,7 @@
 /// The state of the direct path to the store.
 #[derive(Clone, Debug)]
 pub(super) struct Path {
-    usable: Arc<AtomicBool>,
+    usable: watch::Sender<bool>,
     throttled: Arc<AtomicU32>,
     log: slog::Logger,
 }
@@ -31,7 +32,7 @@
     /// Returns a path that counts as usable until a call fails.
     pub fn new(log: slog::Logger) -> Path {
         Path {
-            usable: Arc::new(AtomicBool::new(true)),
+            usable: watch::Sender::new(true),
             throttled: Arc::default(),
             log,
         }
@@ -39,7 +40,14 @@
 
     /// Returns whether the path is usable, as far as calls have shown.
     pub fn is_usable(&self) -> bool {
-        self.usable.load(Ordering::Relaxed)
+        *self.usable.borrow()
+    }
+
+    /// Waits until the path is not usable.
+    pub async fn wait_unusable(&self) {
+        let mut usable = self.usable.subscribe();
+        // The channel cannot close: this value holds its sender.
+        let _ = usable.wait_for(|usable| !usable).await;
     }
 
     /// Records that a call was answered.
@@ -56,7 +64,7 @@
 
     /// Marks the path as unusable until a probe is answered.
     pub fn mark_unusable(&self, store: &impl Store, why: &str) {
-        if !self.usable.swap(false, Ordering::Relaxed) {
+        if !self.usable.send_replace(false) {
             return;
         }
         slog::warn!(self.log,
@@ -75,7 +83,7 @@
             }
         }
         self.on_answer();
-        self.usable.store(true, Ordering::Relaxed);
+        self.usable.send_replace(true);
         slog::info!(self.log, "store: the direct path is usable again");
     }
 }
--- a/src/cell/relay/mod.rs
+++ b/src/cell/relay/mod.rs
@@ -24,6 +24,7 @@
 
 use jsonrpsee::core::async_trait;
 
+use crate::cell::keys;
 use crate::cell::relay::call::execute;
 use crate::cell::relay::call::Answer;
 use crate::cell::relay::call::Call;
@@ -47,6 +48,11 @@
 /// 240 ms; with less time, such a store would get every call twice.
 const DIRECT_ANSWER_SLACK: Duration = Duration::from_millis(250);
 
+/// The longest that a call waits for changes while the direct path is not
+/// usable. That another process has ended, or that the store is back, is only
+/// noticed by then.
+const UNSURE_WAIT: Duration = Duration::from_millis(2000);
+
 /// Makes store calls for another process.
 #[async_trait]
 pub trait Proxy: Send + Sync {
@@ -75,6 +81,9 @@
     }
 
     async fn call(&self, call: Call) -> Result<Answer, Error> {
+        if let Call::Changes(..) = call {
+            return self.call_watch(call).await;
+        }
         let failed = match self.path.is_usable() {
             true => match self.call_direct(&call).await {
                 Err(error) if self.may_reroute(&call, &error) => Some(error),
@@ -91,6 +100,59 @@
         }
     }
 
+    /// Makes a call that waits for changes.
+    async fn call_watch(&self, call: Call) -> Result<Answer, Error> {
+        let failed = match self.path.is_usable() {
+            true => match self.watch_directly(&call).await {
+                Err(error) if self.may_reroute(&call, &error) => Some(error),
+                answer => return answer,
+            },
+            false => None,
+        };
+        let call = call.with_wait_at_most(UNSURE_WAIT);
+        match (self.peers.ask(&call).await, failed) {
+            (Some(answer), _) => answer,
+            (None, Some(error)) => Err(error),
+            (None, None) => self.observe(execute(&self.direct, call).await),
+        }
+    }
+
+    /// Waits for changes directly, for as long as the path is usable.
+    async fn watch_directly(&self, call: &Call) -> Result<Answer, Error> {
+        tokio::select! {
+            biased;
+            answer = execute(&self.direct, call.clone()) => {
+                return self.observe(answer);
+            }
+            () = tokio::time::sleep(call.wait() + DIRECT_ANSWER_SLACK) => {}
+            // Other calls have shown that the store cannot be reached, and
+            // this one may never be answered.
+            () = self.path.wait_unusable() => {}
+        }
+        match self.path.is_usable() && self.answers_reads().await {
+            true => Err(Error::Forgotten(call.after())),
+            false => Err(call::unanswered("the store")),
+        }
+    }
+
+    /// Returns whether the store answers a read directly. A store that drops
+    /// its history leaves all waiting watches of all processes unanswered for
+    /// a while, and answers everything else.
+    async fn answers_reads(&self) -> bool {
+        let read = self.direct.get(keys::CLAIM);
+        match tokio::time::timeout(DIRECT_ANSWER_SLACK, read).await {
+            Ok(Ok(_)) => true,
+            Ok(Err(error)) => {
+                self.mark_unusable(&error.to_string());
+                false
+            }
+            Err(_) => {
+                self.mark_unusable("no answer yet");
+                false
+            }
+        }
+    }
+
     /// Calls the store directly. A read that is not answered soon is also sent
     /// to peers.
     async fn call_direct(&self, call: &Call) -> Result<Answer, Error> {
@@ -98,7 +160,7 @@
         tokio::select! {
             biased;
             answer = &mut direct => return self.observe(answer),
-            () = tokio::time::sleep(call.wait() + DIRECT_ANSWER_SLACK) => {}
+            () = tokio::time::sleep(DIRECT_ANSWER_SLACK) => {}
         }
         self.mark_unusable("no answer yet");
         if !call.is_repeatable() {
--- a/src/cell/session.rs
+++ b/src/cell/session.rs
@@ -40,6 +40,9 @@
 use crate::telemetry::metrics;
 use crate::telemetry::metrics::label;
 
+/// How long one watch of the claim waits for changes. Once other calls show
+/// that the store cannot be reached, the watch ends sooner.
+const CLAIM_WATCH_WAIT: Duration = Duration::from_secs(20);
 /// How long one watch call waits for changes; a lost call is noticed by then.
 const WATCH_WAIT: Duration = Duration::from_millis(2000);
 /// The delay before a failed call is retried.
@@ -173,7 +176,7 @@
     /// Claims whenever the claim is free, and plans while it holds, until
     /// `stop` is set.
     pub async fn run(self, stop: watch::Receiver<bool>) {
-        let mut claims = claim::Watch::new(WATCH_WAIT);
+        let mut claims = claim::Watch::new(CLAIM_WATCH_WAIT);
         while !*stop.borrow() {
             // A planner that reaches the store only through other entries
             // would be the first to lose contact, so the claim is left to
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -33,8 +33,9 @@
     /// can determine whether it did.
     #[error("the response of the store was lost: {0}")]
     Lost(http::Error),
-    /// The store no longer holds the changes that were asked for. The keys
-    /// have to be listed again.
+    /// The store no longer holds the changes that were asked for, or leaves a
+    /// watch of them unanswered while it answers reads. The keys have to be
+    /// listed again.
     #[error("the store no longer holds the changes after revision {0}")]
     Forgotten(Revision),
 }
