An entry reads a group of the others, not all of them

Cause: every entry listed all entries every 5 to 9 s: rows that grow with the square of their number, 183 x 183 on the fleet. Change: registrations are grouped by a digest of the name; an entry reads a random group, larger ones only if there are few entries, every 20 to 40 s.

--- a/src/cell/keys.rs
+++ b/src/cell/keys.rs
@@ -8,9 +8,11 @@
 //! | `lv/in/ID/cancel` | entries | a job is cancelled |
 //! | `lv/queue/QUEUE/ID` | entries, planner | while an accepted job waits |
 //! | `lv/progress/ID` | planner | a run is ordered, or has ended |
-//! | `lv/entry/ENTRY` | entries | while the entry runs, under a lease |
+//! | `lv/entry/DIGITS-ENTRY` | entries | while the entry runs, under a lease |
 //! | `lv/report/AGENT` | agents | ends are listed and no planner is reached |
 
+use crate::util::digest;
+
 /// The key of the planner's claim.
 pub const CLAIM: &str = "lv/planner";
 /// The key that holds the cores of the strongest process that has ever
@@ -28,9 +30,14 @@
 /// The prefix of the entries' registrations.
 pub const ENTRY_PREFIX: &str = "lv/entry/";
 
+/// The number of hexadecimal digits with which the key of an entry's
+/// registration begins, from a digest of its name.
+pub const ENTRY_DIGITS: usize = 2;
+
 /// Returns the key of an entry's registration.
 pub fn entry(process: &str) -> String {
-    format!("{ENTRY_PREFIX}{process}")
+    let digest = digest::of(process.as_bytes());
+    format!("{ENTRY_PREFIX}{}-{process}", &digest[..ENTRY_DIGITS])
 }
 
 /// Returns the key of an agent's saved report.
--- a/src/cell/relay/mod.rs
+++ b/src/cell/relay/mod.rs
@@ -8,10 +8,6 @@
 //! entries in [`Peers`]. If no other entry reaches the store either, the store
 //! itself is down, and calls are made directly and wait as usual.
 //!
-//! In a test in which three of nine entries were cut off from the store, 8 of
-//! the 10 late urgent jobs had been refused, or left without an answer, by one
-//! of these three.
-//!
 //! A call is passed on at most once. A write that may have taken effect is not
 //! repeated on another path: without an answer, the write counts as lost on
 //! any path.
@@ -19,6 +15,7 @@
 pub mod call;
 mod direct;
 mod peers;
+mod sample;
 
 use std::time::Duration;
 
--- a/src/cell/relay/peers.rs
+++ b/src/cell/relay/peers.rs
@@ -19,6 +19,7 @@
 use crate::cell::relay::call::Answer;
 use crate::cell::relay::call::Call;
 use crate::cell::relay::call::Reply;
+use crate::cell::relay::sample::Sample;
 use crate::store::Error;
 use crate::store::LeaseId;
 use crate::store::Mutation;
@@ -40,9 +41,11 @@
 /// The lease of an entry's registration: the longest that a stopped entry
 /// stays listed.
 const ENTRY_TTL: Duration = Duration::from_secs(30);
-/// The longest time between two renewals of the registration. Each process
-/// makes two calls every 5 to 9 s, one of them at a tenth of the usual cost.
-const RENEWAL_INTERVAL: Duration = Duration::from_secs(9);
+/// The longest time between two renewals of the registration. A renewal that
+/// fails is retried before the lease ends.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(20);
+/// The number of renewals after which other entries are read again.
+const RENEWALS_PER_READ: u32 = 2;
 /// The longest time from the first registration to the first read of the
 /// entries. All processes of a site may have started together, so an earlier
 /// read could miss some, and one after [`RENEWAL_INTERVAL`] would be late.
@@ -100,21 +103,30 @@
     /// date. Never returns.
     pub async fn follow(self, store: impl Store, own: Recipient) {
         let mut lease = None;
-        let mut wait = MAX_FIRST_READ_DELAY;
+        let mut sample = Sample::new();
+        let mut renewals = 0;
         loop {
             match self.register(&store, &own, lease).await {
+                Ok(registered) if lease.is_none() => {
+                    lease = Some(registered);
+                    pause(MAX_FIRST_READ_DELAY / 2).await;
+                    self.refresh(&store, &mut sample).await;
+                }
                 Ok(registered) => {
                     lease = Some(registered);
-                    pause(wait / 2).await;
-                    self.refresh(&store).await;
-                    wait = RENEWAL_INTERVAL;
+                    renewals += 1;
+                    if renewals % RENEWALS_PER_READ == 0 {
+                        self.refresh(&store, &mut sample).await;
+                    }
                 }
                 Err(error) => {
                     slog::debug!(self.0.log,
                         "entry: registration failed"; "error" => %error);
                     pause(RETRY_DELAY).await;
+                    continue;
                 }
             }
+            pause(RENEWAL_INTERVAL / 2).await;
         }
     }
 
@@ -138,20 +150,28 @@
         Ok(lease)
     }
 
-    async fn refresh(&self, store: &impl Store) {
-        let listing = match store.list(keys::ENTRY_PREFIX).await {
-            Ok(listing) => listing,
-            Err(error) => {
-                slog::debug!(self.0.log,
-                    "entry: the other entries could not be read";
-                    "error" => %error);
-                return;
+    /// Reads a group of the other entries.
+    async fn refresh(&self, store: &impl Store, sample: &mut Sample) {
+        let own = keys::entry(&self.0.process);
+        let others: Vec<Recipient> = loop {
+            let listing = match store.list(&sample.prefix()).await {
+                Ok(listing) => listing,
+                Err(error) => {
+                    slog::debug!(self.0.log,
+                        "entry: the other entries could not be read";
+                        "error" => %error);
+                    return;
+                }
+            };
+            let others = listing.items.iter().filter(|item| item.key != own);
+            let others =
+                others.map(|item| serde_json::from_slice(&item.value));
+            let others: Vec<Recipient> =
+                others.filter_map(Result::ok).collect();
+            if sample.is_enough(others.len()) {
+                break others;
             }
         };
-        let own = keys::entry(&self.0.process);
-        let others = listing.items.iter().filter(|item| item.key != own);
-        let others = others.map(|item| serde_json::from_slice(&item.value));
-        let others: Vec<Recipient> = others.filter_map(Result::ok).collect();
         let mut state = self.lock();
         state.connections.retain(|entry, _| others.contains(entry));
         state.others = others;
