What was learned of a worker's speed outlives its planner

Change: orders tell each agent what is known of its worker, its reports tell the next planner. Two ways were weighed: a record in the store costs a write and a value that grows with the fleet; this costs nothing while nothing changes hands, and is lost only with the agent's process.

--- a/benches/pass.rs
+++ b/benches/pass.rs
@@ -181,6 +181,7 @@
                 silent: false,
                 remaining_ms: None,
                 listed_at: None,
+                speed: None,
                 lists: Lists {
                     running: self.running[index].clone(),
                     ended: ended.into_iter().collect(),
--- a/crates/landingvalve-experiment/src/fleet.rs
+++ b/crates/landingvalve-experiment/src/fleet.rs
@@ -231,6 +231,7 @@
             silent: false,
             remaining_ms: left.map(|left| left.as_millis() as u64),
             listed_at: None,
+            speed: None,
             lists: Lists {
                 running: running.collect(),
                 ended: self.ended.clone(),
--- a/src/cell/member/state.rs
+++ b/src/cell/member/state.rs
@@ -22,8 +22,10 @@
 use crate::graph::Report;
 use crate::graph::Resources;
 use crate::graph::Run;
+use crate::graph::Speed;
 use crate::graph::Stop;
 use crate::graph::Task;
+use crate::graph::WorkerReport;
 use crate::store::Revision;
 
 /// How much longer than its lease a run may last: the worker's clock may be 2%
@@ -82,6 +84,8 @@
     pub granted_until: Option<BootInstant>,
     /// When a planner last answered.
     pub last_planner_answer: BootInstant,
+    /// What the last planner has learned of the worker's speed.
+    pub speed: Option<Speed>,
     /// The highest token that the worker has rejected as too low.
     pub highest_fenced: Revision,
     pub worker: Option<View>,
@@ -100,6 +104,7 @@
             token: 0,
             granted_until: None,
             last_planner_answer: BootInstant::now(),
+            speed: None,
             highest_fenced: 0,
             worker: None,
             next_conflict: None,
@@ -224,7 +229,12 @@
             gone: over.map(|view| view.heartbeat.life.clone()),
             before,
             silent: over.is_some_and(|view| view.lapsed && !view.down),
-            worker: alive.and_then(|view| view.report(now)),
+            worker: alive.and_then(|view| view.report(now)).map(|worker| {
+                WorkerReport {
+                    speed: self.speed,
+                    ..worker
+                }
+            }),
         }
     }
 
@@ -241,6 +251,7 @@
         self.token = token;
         self.last_planner_answer = BootInstant::now();
         self.granted_until = self.granted_until.max(granted);
+        self.speed = orders.speed.or(self.speed);
         let Some(view) = &mut self.worker else {
             return Vec::new();
         };
--- a/src/cell/member/view.rs
+++ b/src/cell/member/view.rs
@@ -362,6 +362,7 @@
             remaining_ms: remaining.map(|ms| ms as u64),
             lists,
             listed_at: self.listed_at,
+            speed: None,
             refused: refused.collect(),
         })
     }
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -242,6 +242,15 @@
             .workers
             .get(agent)
             .is_none_or(|worker| worker.life != reported.life);
+        let before = self.workers.get(agent);
+        let replaced = before.is_some_and(|before| {
+            before.machine.is_some() && before.machine != reported.machine
+        });
+        match reported.speed {
+            _ if replaced => self.speeds.forget(agent),
+            Some(speed) => self.speeds.adopt(agent, speed),
+            None => {}
+        }
         if is_new {
             let life = reported.life.clone();
             self.move_births(agent, &life, &reported.lists);
@@ -497,6 +506,7 @@
 ) -> Worker {
     Worker {
         life: reported.life.clone(),
+        machine: reported.machine.clone(),
         pool: reported.pool.clone(),
         hall: reported.hall.clone(),
         rack: reported.rack.clone(),
--- a/src/graph/mod.rs
+++ b/src/graph/mod.rs
@@ -93,6 +93,7 @@
 pub use scheduler::Scheduler;
 pub use shortage::Shortage;
 pub use shortage::ShortageKind;
+pub use speed::Speed;
 pub use speed::Speeds;
 
 use std::time::Instant;
--- a/src/graph/orders.rs
+++ b/src/graph/orders.rs
@@ -17,6 +17,7 @@
 use crate::graph::Run;
 use crate::graph::Scheduler;
 use crate::graph::SharedStr;
+use crate::graph::Speed;
 use crate::graph::StepKey;
 use crate::graph::Task;
 use crate::graph::UnitKey;
@@ -66,6 +67,10 @@
     /// The filler tasks that are to change their pace.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub paces: Vec<Pace>,
+    /// What the planner knows of the worker's speed. The agent passes it on to
+    /// the next planner.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub speed: Option<Speed>,
 }
 
 impl Scheduler {
@@ -99,6 +104,7 @@
     /// without the starts and stops of known runs.
     fn begin_orders(&mut self, agent: &AgentId) -> Option<Orders> {
         let paces = self.pace_orders(agent);
+        let speed = self.speeds.learned(agent);
         let worker = self.workers.get_mut(agent)?;
         while let Some(end) = worker.unacked_ends.front() {
             let written = self
@@ -121,6 +127,7 @@
             starts: Vec::new(),
             stops: worker.unknown_runs.iter().map(unknown_run).collect(),
             paces,
+            speed,
         })
     }
 }
--- a/src/graph/report.rs
+++ b/src/graph/report.rs
@@ -9,6 +9,7 @@
 use crate::graph::Resources;
 use crate::graph::Run;
 use crate::graph::SharedStr;
+use crate::graph::Speed;
 use crate::graph::Task;
 
 /// The name of an agent.
@@ -132,6 +133,9 @@
     /// The time on the worker's clock at which it listed them, in ms.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub listed_at: Option<u64>,
+    /// What the last planner has learned of the worker's speed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub speed: Option<Speed>,
     /// Starts that the worker refused, or that were stopped before they began.
     pub refused: Vec<Refused>,
 }
--- a/src/graph/scheduler.rs
+++ b/src/graph/scheduler.rs
@@ -83,6 +83,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Worker {
     pub life: Life,
+    /// The machine that the worker runs on, if the cloud names it.
+    pub machine: Option<SharedStr>,
     pub pool: SharedStr,
     pub hall: SharedStr,
     pub rack: SharedStr,
--- a/src/graph/speed.rs
+++ b/src/graph/speed.rs
@@ -12,13 +12,18 @@
 //! Medians keep out single runs that were slow for another reason: a worker in
 //! trouble, a wait for others, a place far from the data.
 //!
-//! A new planner starts without estimates: runs show them within seconds.
+//! A planner tells each agent what it has learned of the agent's worker, and
+//! the next planner learns it from the agents' reports. That takes no call of
+//! the store, and lasts as long as the worker's machine keeps its agent.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::graph::job_record::JobRecord;
 use crate::graph::place::Request;
 use crate::graph::unit::Phase;
@@ -45,6 +50,8 @@
 /// The least standard deviation between workers that is acted on, of a
 /// logarithm. Below it, workers count as equally fast.
 const MIN_SPREAD: f64 = 0.08;
+/// The most runs that what an earlier planner has learned counts as.
+const MAX_LEARNED_RUNS: u32 = 4;
 /// The share of workers by which it is judged how much workers differ.
 const KEPT_SHARE: f64 = 0.9;
 /// The least variance between workers that counts as one, in standard errors.
@@ -55,7 +62,16 @@
 const FASTEST_QUANTILE: f64 = 0.9;
 
 /// The speed of a worker as a natural logarithm, relative to the middle.
-pub(super) type LogSpeed = f64;
+pub type LogSpeed = f64;
+
+/// What a planner has learned of a worker's speed.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Speed {
+    /// The speed as a natural logarithm, relative to the middle.
+    pub log: LogSpeed,
+    /// The number of runs that have shown it.
+    pub runs: u32,
+}
 
 /// The times of a step's runs.
 #[derive(Clone, Debug, Default)]
@@ -70,6 +86,10 @@
     steps: BTreeMap<StepKey, Runs>,
     /// The steps, the oldest first.
     order: VecDeque<StepKey>,
+    /// What earlier planners have learned.
+    learned: BTreeMap<AgentId, Speed>,
+    /// The estimates before they are drawn towards the middle.
+    raw: BTreeMap<AgentId, Speed>,
     speeds: BTreeMap<AgentId, LogSpeed>,
     fastest: LogSpeed,
     changed: bool,
@@ -103,6 +123,19 @@
         self.changed = true;
     }
 
+    /// Records what an earlier planner has learned of an agent's worker.
+    pub fn adopt(&mut self, agent: &AgentId, speed: Speed) {
+        if !self.learned.contains_key(agent) && speed.log.is_finite() {
+            self.learned.insert(agent.clone(), speed);
+            self.changed = true;
+        }
+    }
+
+    /// Returns what is known of an agent's worker, for the next planner.
+    pub fn learned(&self, agent: &AgentId) -> Option<Speed> {
+        self.raw.get(agent).copied()
+    }
+
     /// Returns the speed of an agent's worker.
     pub fn of(&self, agent: &AgentId) -> LogSpeed {
         self.speeds.get(agent).copied().unwrap_or(0.0)
@@ -123,6 +156,10 @@
         for runs in self.steps.values_mut() {
             runs.times.retain(|_, (other, _)| other != agent);
         }
+        // The agent may still pass on what was known of the machine before.
+        let unknown = Speed { log: 0.0, runs: 0 };
+        self.learned.insert(agent.clone(), unknown);
+        self.raw.remove(agent);
         self.speeds.remove(agent);
     }
 
@@ -148,6 +185,12 @@
             center(&mut raw);
         }
         self.speeds = shrink(&raw, &residuals);
+        let runs = |agent| residuals.get(agent).map_or(0, Vec::len) as u32;
+        let known = raw.iter().map(|(agent, log)| {
+            let runs = runs(agent);
+            (agent.clone(), Speed { log: *log, runs })
+        });
+        self.raw = known.collect();
         self.fastest = quantile(&self.speeds, FASTEST_QUANTILE);
         true
     }
@@ -160,6 +203,10 @@
     ) -> BTreeMap<AgentId, Vec<f64>> {
         let speed = |agent| speeds.get(agent).copied().unwrap_or(0.0);
         let mut residuals: BTreeMap<AgentId, Vec<f64>> = BTreeMap::new();
+        for (agent, speed) in &self.learned {
+            let runs = speed.runs.min(MAX_LEARNED_RUNS) as usize;
+            residuals.insert(agent.clone(), vec![speed.log; runs]);
+        }
         for runs in self.steps.values() {
             let mut workers: Vec<&AgentId> =
                 runs.times.values().map(|(agent, _)| agent).collect();
--- a/tests/it/graph.rs
+++ b/tests/it/graph.rs
@@ -90,6 +90,7 @@
                 silent: self.unresponsive,
                 remaining_ms: None,
                 listed_at: None,
+                speed: None,
                 lists: Lists {
                     running: self.running.clone(),
                     ended: self.ended.clone(),
--- a/tests/it/graph_faults.rs
+++ b/tests/it/graph_faults.rs
@@ -622,6 +622,7 @@
                 silent: false,
                 remaining_ms: None,
                 listed_at: None,
+                speed: None,
                 lists: Lists {
                     running: worker.running.clone(),
                     ended: worker.ended.clone(),
--- a/tests/it/speed.rs
+++ b/tests/it/speed.rs
@@ -155,3 +155,24 @@
     fleet.estimates.forget(&agent);
     assert!(fleet.estimates.of(&agent) == 0.0);
 }
+
+/// Guards against a planner that treats fast and slow workers alike until runs
+/// have shown them again.
+#[test]
+fn next_planner_knows_what_the_last_one_has_learned() {
+    let speeds = three_speeds([0.6, 1.0, 1.6], 60);
+    let mut fleet = Fleet::new(1, &speeds);
+    for _ in 0..12 {
+        fleet.run_step(40);
+    }
+    fleet.estimate();
+    let mut next = Fleet::new(2, &speeds);
+    for worker in 0..60 {
+        let agent = Fleet::agent(worker);
+        let learned = fleet.estimates.learned(&agent);
+        next.estimates
+            .adopt(&agent, learned.expect("runs were seen"));
+    }
+    next.estimate();
+    assert!(next.ordered(1.6) > 0.95, "{}", next.ordered(1.6));
+}
