--- a/crates/landingvalve-sim/src/store.rs
+++ b/crates/landingvalve-sim/src/store.rs
@@ -56,6 +56,8 @@
     revision: Revision,
     items: BTreeMap<String, (Item, LeaseId)>,
     leases: BTreeMap<LeaseId, (Instant, Duration)>,
+    /// When it was last checked which leases have expired.
+    leases_checked: Option<Instant>,
     log: Vec<Change>,
     /// Revision up to which the history of changes is discarded.
     compacted_revision: Revision,
@@ -107,10 +109,12 @@
 impl Data {
     fn expire_leases(&mut self) {
         let now = Instant::now();
-        // Leases do not expire while the store is down.
-        if self.faults.down {
+        // Leases do not expire while the store is down, and no further one
+        // does within the same instant.
+        if self.faults.down || self.leases_checked == Some(now) {
             return;
         }
+        self.leases_checked = Some(now);
         let expired = self.leases.iter().filter(|(_, (end, _))| *end <= now);
         let expired: Vec<LeaseId> = expired.map(|(lease, _)| *lease).collect();
         for lease in expired {
