--- a/src/graph/decision.rs
+++ b/src/graph/decision.rs
@@ -76,7 +76,7 @@
         failed: usize,
     },
     /// The workers' speeds were estimated, and the fastest workers differ more
-    /// from the others than before, or less.
+    /// from the others than when that was reported last, or less.
     SpeedsEstimated {
         /// The number of workers that runs have shown something of.
         workers: usize,
--- a/src/graph/speed.rs
+++ b/src/graph/speed.rs
@@ -92,6 +92,8 @@
     raw: BTreeMap<AgentId, Speed>,
     speeds: BTreeMap<AgentId, LogSpeed>,
     fastest: LogSpeed,
+    /// The value of `fastest` that was logged last.
+    logged_fastest: LogSpeed,
     changed: bool,
     estimated_at: Option<Instant>,
 }
@@ -231,12 +233,13 @@
 impl Scheduler {
     /// Estimates the workers' speeds again if enough has been observed.
     pub(super) fn estimate_speeds(&mut self, now: Timestamp) {
-        let before = self.speeds.fastest();
         if !self.speeds.estimate(now.monotonic) {
             return;
         }
         let fastest = self.speeds.fastest();
+        let before = self.speeds.logged_fastest;
         if (fastest - before).abs() >= MIN_SPREAD {
+            self.speeds.logged_fastest = fastest;
             self.record_decision(Decision::SpeedsEstimated {
                 workers: self.speeds.speeds.len(),
                 fastest: fastest.exp(),
