--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# See claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the
+# case could not run.
+cd "$(dirname "$0")" || exit 2
+exec python3 case.py
