A goodbye ends no life: its worker's closed port does

Cause: a goodbye names the worker and no birth, and may be late. The agent took it for the present birth, which then counted as over 800 ms after the last answered poll (LEAVE_PERIOD), although a poll waits for 1,000 ms (POLL_WAIT). The absence of news was taken for an end, by a timer that raced another one. A poll that another life answers (421) set the same timer anew each 120 ms, so that a life replaced under another name was never given up while no heartbeat came.

Change: a goodbye only keeps new work away and causes a poll. The life is over once two polls sent after the goodbye find the worker's port closed, another life answers, or the leases run out in silence. LEAVE_PERIOD is gone; which of the remaining timers must exceed which is asserted at compile time. Answers of a poll count only for the life that was polled.

Evidence: goodbyes::a_late_goodbye_in_any_phase_of_a_poll_ends_nothing fails on the code before for each of ten phases of a poll, and so do the three other tests of goodbyes: silence after a goodbye ended a life whose leases still ran, a worker that still answered was given up, and the replaced life never was. births::a_late_leave_notice_of_an_earlier_birth_ends_nothing passed because its worker answers each poll within 50 ms.

--- a/src/cell/member/mod.rs
+++ b/src/cell/member/mod.rs
@@ -6,6 +6,7 @@
 //! lost.
 
 mod act;
+mod goodbye;
 mod link;
 mod poll;
 mod save;
@@ -33,9 +34,6 @@
 use crate::telemetry::metrics;
 use crate::telemetry::metrics::label;
 
-/// The time after which a worker that announced its end is certainly gone.
-const LEAVE_PERIOD: Duration = Duration::from_millis(800);
-
 /// The configuration of a member.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -153,21 +151,24 @@
         }
     }
 
-    /// Records that the worker with this name is about to end.
+    /// Records that the worker with this name is about to end. A poll shows
+    /// whether the known life is the one that ends.
     pub fn worker_left(&self, name: &str) {
-        self.life_ended(&Life::from(name), true);
+        let new = self.lock().mark_goodbye(&Life::from(name));
+        slog::info!(self.0.config.log, "agent: the worker said goodbye";
+            "life" => name, "new" => new);
+        if new {
+            self.0.poll_now.notify_one();
+        }
     }
 
-    fn life_ended(&self, life: &Life, reported: bool) {
-        slog::info!(self.0.config.log, "agent: the worker's life is ending";
-            "life" => &**life);
-        let now = Instant::now();
-        if self.lock().mark_leaving(life, reported, now + LEAVE_PERIOD) {
-            let member = self.clone();
-            tokio::spawn(async move {
-                tokio::time::sleep_until(now + LEAVE_PERIOD).await;
-                member.0.report_now.notify_one();
-            });
+    /// Records that another life answered a call for this one.
+    fn life_replaced(&self, life: &Life) {
+        if self.lock().mark_replaced(life) {
+            slog::info!(self.0.config.log,
+                "agent: another life of the worker answers";
+                "life" => &**life);
+            self.0.report_now.notify_one();
         }
     }
 
--- a/src/cell/member/poll.rs
+++ b/src/cell/member/poll.rs
@@ -5,6 +5,8 @@
 use tokio::time::Instant;
 
 use crate::cell::member::state::Poll;
+use crate::cell::member::view::CONFIRMATION_LIFETIME;
+use crate::cell::member::view::SILENCE_LIMIT;
 use crate::cell::member::Member;
 use crate::cell::pause;
 use crate::cell::worker::Error;
@@ -28,6 +30,15 @@
 /// a poll returns at once.
 const UNACKNOWLEDGED_DELAY: Duration = Duration::from_millis(100);
 
+// Without the next answer, a life would stop being confirmed, or would count as
+// silent, while its worker answers every poll.
+const _: () = {
+    let longest_poll = POLL_WAIT.as_millis() + ANSWER_SLACK.as_millis();
+    assert!(longest_poll < CONFIRMATION_LIFETIME.as_millis());
+    assert!(POLL_WAIT.as_millis() < SILENCE_LIMIT.as_millis());
+    assert!(FREQUENT_POLL_WAIT.as_millis() < POLL_WAIT.as_millis());
+};
+
 impl<W: Worker, S: Store> Member<W, S> {
     /// Polls the worker. Never returns.
     pub(super) async fn poll_worker(&self) {
@@ -127,15 +138,12 @@
         let down = matches!(error, Error::Down(_));
         let unreached = matches!(error, Error::Lost(_) | Error::Unreached(_));
         if matches!(error, Error::OtherLife) {
-            self.life_ended(&poll.call.life, false);
+            self.life_replaced(&poll.call.life);
         } else if !down && !unreached {
             // An error other than silence still shows that the worker is
             // alive.
-            let mut state = self.lock();
-            if let Some(view) = &mut state.worker {
-                view.mark_alive(now);
-            }
-        } else if self.lock().poll_failed(down, now) {
+            self.lock().mark_alive(&poll.call.life, now);
+        } else if self.lock().poll_failed(poll, down, now) {
             slog::warn!(self.0.config.log,
                 "agent: the worker does not answer"; "error" => %error,
                 "down" => down, "life" => &*poll.call.life);
--- a/src/cell/member/state.rs
+++ b/src/cell/member/state.rs
@@ -5,12 +5,13 @@
 
 use tokio::time::Instant;
 
+use crate::cell::member::goodbye::Goodbye;
 use crate::cell::member::view::Key;
+use crate::cell::member::view::Over;
 use crate::cell::member::view::View;
 use crate::cell::member::view::UNRESPONSIVE_POLLS;
 use crate::cell::member::Config;
 use crate::cell::member::Heartbeat;
-use crate::cell::member::LEAVE_PERIOD;
 use crate::cell::worker::Call;
 use crate::cell::worker::Snapshot;
 use crate::cell::worker::WorkerTime;
@@ -161,10 +162,10 @@
         // A worker that announced its end does not revoke that. An end
         // that was only reported under the worker's name may have been meant
         // for another life.
-        if view.reported_left && view.is_responding(now) && !heartbeat.leaving
-        {
-            view.reported_left = false;
-            view.over_at = None;
+        let revocable = view.goodbye.is_some_and(Goodbye::is_revocable);
+        if revocable && view.is_responding(now) && !heartbeat.leaving {
+            view.goodbye = None;
+            view.over = None;
             view.heartbeat.leaving = false;
         }
         let leaving = view.heartbeat.leaving || heartbeat.leaving;
@@ -178,23 +179,35 @@
         }
     }
 
-    /// Records that a life ends, either as reported or because another life
-    /// answers. Returns whether the known worker has this life.
-    pub fn mark_leaving(
-        &mut self,
-        life: &Life,
-        reported: bool,
-        over_at: Instant,
-    ) -> bool {
-        match &mut self.worker {
-            Some(view) if view.heartbeat.life.may_equal(life) => {
-                view.reported_left |= reported && !view.heartbeat.leaving;
-                view.heartbeat.leaving = true;
-                view.over_at = Some(over_at);
-                true
-            }
-            _ => false,
-        }
+    /// Records a notice that the worker with this name is about to end.
+    /// Returns whether it is the first one for the known life.
+    ///
+    /// The life is over only once the worker itself shows that, because the
+    /// notice may have been meant for an earlier birth. Until then the worker
+    /// gets no new work.
+    pub fn mark_goodbye(&mut self, name: &Life) -> bool {
+        let view = self.worker.as_mut();
+        let view = view.filter(|view| view.heartbeat.life.may_equal(name));
+        let Some(view) = view.filter(|view| view.goodbye.is_none()) else {
+            return false;
+        };
+        let goodbye = Goodbye::new(view.polls, !view.heartbeat.leaving);
+        view.goodbye = Some(goodbye);
+        view.heartbeat.leaving = true;
+        true
+    }
+
+    /// Records that another life answered a call for this one. Returns whether
+    /// that is news of the known life.
+    pub fn mark_replaced(&mut self, life: &Life) -> bool {
+        let view = self.worker.as_mut();
+        let view = view.filter(|view| view.heartbeat.life == *life);
+        let Some(view) = view.filter(|view| !view.is_over()) else {
+            return false;
+        };
+        view.over = Some(Over::Replaced);
+        view.heartbeat.leaving = true;
+        true
     }
 
     /// Returns the next report.
@@ -202,7 +215,7 @@
         self.sequence += 1;
         self.count_use(now);
         if let Some(view) = &mut self.worker {
-            if view.is_over(now) {
+            if view.is_over() {
                 // Once this life is reported as gone, its runs begin
                 // elsewhere. If the worker answers again, it must carry out
                 // none of these orders.
@@ -213,8 +226,8 @@
             view.mark_shares_reported();
         }
         let view = self.worker.as_ref();
-        let over = view.filter(|view| view.is_over(now));
-        let alive = view.filter(|view| !view.is_over(now));
+        let over = view.filter(|view| view.is_over());
+        let alive = view.filter(|view| !view.is_over());
         // The earlier birth is not reported as over until nothing ordered for
         // it can still begin in this one, because its runs would begin
         // elsewhere.
@@ -229,7 +242,7 @@
             Some(view) => before.map(|before| PastLife {
                 // The leases of this life have run out together with those of
                 // its successor.
-                over: view.lapsed,
+                over: view.has_lapsed(),
                 ..before
             }),
             None => before,
@@ -240,7 +253,7 @@
             sequence: self.sequence,
             gone: over.map(|view| view.heartbeat.life.clone()),
             before,
-            silent: over.is_some_and(|view| view.lapsed && !view.down),
+            silent: over.is_some_and(|view| view.has_lapsed() && !view.down),
             worker: alive.and_then(|view| view.report(now)).map(|worker| {
                 WorkerReport {
                     speed: self.speed,
@@ -269,7 +282,7 @@
             return Vec::new();
         };
         match orders.life {
-            Some(_) if view.is_over(Instant::now()) => return Vec::new(),
+            Some(_) if view.is_over() => return Vec::new(),
             Some(life) if life == view.heartbeat.life => {}
             _ => return Vec::new(),
         }
@@ -360,9 +373,11 @@
         view.mark_alive(now);
         let recovered = view.is_unresponsive();
         view.failed_polls = 0;
-        // A worker that answers has not ended, even if its end was reported: a
-        // call that names the worker may have been meant for an earlier birth.
-        view.over_at = view.over_at.map(|over| over.max(now + LEAVE_PERIOD));
+        // A worker that answers has not ended, even if it said goodbye.
+        view.over = None;
+        if let Some(goodbye) = &mut view.goodbye {
+            goodbye.mark_answered();
+        }
         view.clock = Some((snapshot.time, now));
         view.last_poll_answer = Some(now);
         view.start_unanswered = false;
@@ -416,7 +431,7 @@
         let (meter, counted) = &mut self.used;
         let elapsed = now.saturating_duration_since(*counted);
         *counted = now.max(*counted);
-        let view = self.worker.as_ref().filter(|view| !view.is_over(now));
+        let view = self.worker.as_ref().filter(|view| !view.is_over());
         let capacity = view.map(|view| view.heartbeat.capacity);
         let held = view.map(|view| view.held());
         meter.advance(
@@ -465,23 +480,41 @@
         })
     }
 
-    /// Records that a poll was not answered, and whether the worker's process
-    /// was down. Returns whether there is something new to report: the worker
+    /// Records a sign of a life.
+    pub fn mark_alive(&mut self, life: &Life, now: Instant) {
+        let view = self.worker.as_mut();
+        if let Some(view) = view.filter(|view| view.heartbeat.life == *life) {
+            view.mark_alive(now);
+        }
+    }
+
+    /// Records that a poll was not answered, and whether the worker's port was
+    /// closed. Returns whether there is something new to report: the worker
     /// has become unresponsive, or its life is over.
-    pub fn poll_failed(&mut self, down: bool, now: Instant) -> bool {
-        let Some(view) = &mut self.worker else {
+    pub fn poll_failed(
+        &mut self,
+        poll: &Poll,
+        down: bool,
+        now: Instant,
+    ) -> bool {
+        let view = self.worker.as_mut();
+        let view = view.filter(|view| view.heartbeat.life == poll.call.life);
+        let Some(view) = view else {
             return false;
         };
         view.down |= down;
         view.failed_polls = view.failed_polls.saturating_add(1);
         let unresponsive = view.failed_polls == UNRESPONSIVE_POLLS;
+        let goodbye = view.goodbye.as_mut().filter(|_| down);
+        let left = goodbye.is_some_and(|g| g.mark_closed(poll.number));
         let lapsed = view.leased_until.is_none_or(|l| now > l + LEASE_SLACK);
-        let over = view.over_at.is_none() && lapsed && view.is_silent(now);
-        if over {
-            view.over_at = Some(now);
-            view.lapsed = true;
-        }
-        over || unresponsive
+        let before = view.over;
+        view.over = match before {
+            None if left => Some(Over::Left),
+            None if lapsed && view.is_silent(now) => Some(Over::Lapsed),
+            known => known,
+        };
+        view.over != before || unresponsive
     }
 
     /// Returns a run of an earlier birth that a delayed order could still
--- a/src/cell/member/view.rs
+++ b/src/cell/member/view.rs
@@ -6,6 +6,7 @@
 
 use tokio::time::Instant;
 
+use crate::cell::member::goodbye::Goodbye;
 use crate::cell::member::Heartbeat;
 use crate::cell::worker::WorkerTime;
 use crate::graph::Ended;
@@ -24,10 +25,10 @@
 
 /// The time without any sign of the worker after which its life counts as
 /// over.
-const SILENCE_LIMIT: Duration = Duration::from_millis(1500);
+pub(super) const SILENCE_LIMIT: Duration = Duration::from_millis(1500);
 /// How long a poll's answer confirms the worker's life: until the next poll is
 /// answered or has failed.
-const CONFIRMATION_LIFETIME: Duration = Duration::from_millis(1700);
+pub(super) const CONFIRMATION_LIFETIME: Duration = Duration::from_millis(1700);
 /// The consecutive failed polls after which a worker counts as unresponsive. A
 /// single poll may be lost with its connection.
 pub(super) const UNRESPONSIVE_POLLS: u32 = 2;
@@ -86,6 +87,17 @@
     }
 }
 
+/// The evidence that a life is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Over {
+    /// The worker said goodbye, and its port has been closed since.
+    Left,
+    /// Another life answered a call that was meant for this one.
+    Replaced,
+    /// Its leases ran out without a sign of it.
+    Lapsed,
+}
+
 /// An agent's view of one life of its worker.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -127,15 +139,12 @@
     pub failed_polls: u32,
     /// The latest time until which any run may continue.
     pub leased_until: Option<Instant>,
-    /// When the life counts as over.
-    pub over_at: Option<Instant>,
-    /// Whether the life counts as over because its leases ran out in silence.
-    pub lapsed: bool,
+    /// Why the life counts as over, if it does.
+    pub over: Option<Over>,
     /// Whether the worker's process was seen to be down.
     pub down: bool,
-    /// Whether the worker counts as leaving only because its end was reported
-    /// to the agent.
-    pub reported_left: bool,
+    /// The notice that the worker is about to end, if there was one.
+    pub goodbye: Option<Goodbye>,
     /// The runs of earlier births under the same name that may still begin
     /// here. A call names only the worker, and may be carried out seconds
     /// later.
@@ -179,10 +188,9 @@
             // An earlier process of this agent may have given a lease of this
             // length.
             leased_until: Some(now + lease),
-            over_at: None,
-            reported_left: false,
-            lapsed: false,
+            over: None,
             down: false,
+            goodbye: None,
             late_runs: BTreeSet::new(),
             ignored_polls: 0,
             reported_shares: BTreeMap::new(),
@@ -256,7 +264,7 @@
     /// Records a sign of life from the worker.
     pub fn mark_alive(&mut self, now: Instant) {
         self.last_contact = now;
-        self.over_at = self.over_at.filter(|_| self.heartbeat.leaving);
+        self.over = self.over.filter(|_| self.heartbeat.leaving);
     }
 
     /// Returns whether the worker answers no calls. Such a worker may still
@@ -268,7 +276,7 @@
     /// Returns whether this life answers calls. A heartbeat of another life is
     /// then either delayed, from a life that is gone, or false.
     pub(super) fn is_confirmed(&self, now: Instant) -> bool {
-        self.is_responding(now) && self.over_at.is_none()
+        self.is_responding(now) && !self.is_over()
     }
 
     /// Returns whether the last poll was answered by this birth.
@@ -290,8 +298,14 @@
     }
 
     /// Returns whether the worker's life counts as over.
-    pub fn is_over(&self, now: Instant) -> bool {
-        self.over_at.is_some_and(|over| now >= over)
+    pub fn is_over(&self) -> bool {
+        self.over.is_some()
+    }
+
+    /// Returns whether the life counts as over because its leases ran out in
+    /// silence.
+    pub(super) fn has_lapsed(&self) -> bool {
+        self.over == Some(Over::Lapsed)
     }
 
     /// Returns the worker's time at an instant, or a little before it.
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -320,6 +320,13 @@
     /// The number of polls that were not answered for that reason.
     stalled_polls: u32,
     last_poll_wait: Duration,
+    /// Whether a poll waits for an end as long as it may, rather than for
+    /// [`SHORT_POLL_WAIT`].
+    uses_full_poll_waits: bool,
+    /// When the last poll arrived.
+    last_poll_at: Option<Instant>,
+    /// Whether the worker's port is closed.
+    is_closed: bool,
     /// Whether the worker answers nothing after a poll that has shown an end.
     mutes_after_shown_end: bool,
     /// The highest end that a poll has acknowledged while the worker was mute.
@@ -362,6 +369,9 @@
     barred: Vec<(String, u32)>,
 }
 
+/// How long a poll waits for an end by default, so that tests are short.
+const SHORT_POLL_WAIT: Duration = Duration::from_millis(50);
+
 /// A worker whose tasks end on demand.
 #[derive(Clone)]
 pub struct FakeWorker {
@@ -455,6 +465,22 @@
         self.lock().mute = mute;
     }
 
+    /// Lets polls wait for an end as long as they may.
+    pub fn use_full_poll_waits(&self) {
+        self.lock().uses_full_poll_waits = true;
+    }
+
+    /// Returns when the last poll arrived, and how long it may wait.
+    pub fn last_poll(&self) -> Option<(Instant, Duration)> {
+        let state = self.lock();
+        Some((state.last_poll_at?, state.last_poll_wait))
+    }
+
+    /// Closes the worker's port, as the end of its process does.
+    pub fn close(&self) {
+        self.lock().is_closed = true;
+    }
+
     /// Sets the number of the worker's accelerators.
     pub fn set_accelerators(&self, accelerators: i64) {
         self.lock().accelerators = Some(accelerators);
@@ -551,6 +577,9 @@
 
     /// Returns unless the worker is mute; fails if the worker fails every call.
     async fn check_reachable(&self) -> Result<(), worker::Error> {
+        if self.lock().is_closed {
+            return Err(worker::Error::Down("on demand".to_owned()));
+        }
         if self.lock().mute {
             std::future::pending::<()>().await;
         }
@@ -738,14 +767,22 @@
             let mut state = self.lock();
             state.lease_renewed = expires.is_some();
             state.last_poll_wait = wait;
+            state.last_poll_at = Some(Instant::now());
             if state.mute {
                 state.acknowledged_while_mute =
                     state.acknowledged_while_mute.max(noted);
             }
         }
         self.check_reachable().await?;
-        let deadline = Instant::now() + wait.min(Duration::from_millis(50));
+        let limit = match self.lock().uses_full_poll_waits {
+            true => wait,
+            false => wait.min(SHORT_POLL_WAIT),
+        };
+        let deadline = Instant::now() + limit;
         loop {
+            if self.lock().is_closed {
+                return Err(worker::Error::Lost("reset".to_owned()));
+            }
             if self.stalls_poll() {
                 std::future::pending::<()>().await;
             }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -15,6 +15,7 @@
 mod explain;
 mod explore;
 mod gang_steps;
+mod goodbyes;
 mod graph;
 mod graph_faults;
 mod guarantees;
--- a/tests/it/ordered.rs
+++ b/tests/it/ordered.rs
@@ -20,6 +20,7 @@
 use landingvalve::cell::relay::call::Call;
 use landingvalve::cell::relay::call::Reply;
 use landingvalve::cell::rpc::Answer;
+use landingvalve::graph::Life;
 use landingvalve::graph::Options;
 use landingvalve::graph::Orders;
 use landingvalve::graph::Report;
@@ -53,6 +54,8 @@
     orders: Orders,
     last_report: Option<Report>,
     report_count: u32,
+    /// The lives that reports named as gone, in their order.
+    gone: Vec<Life>,
     /// How long the planner holds a report before it answers.
     hold: Duration,
     connections: u32,
@@ -60,11 +63,11 @@
 
 /// A planner whose orders the test sets.
 #[derive(Clone, Default)]
-struct Planner(Arc<Mutex<Data>>);
+pub struct Planner(Arc<Mutex<Data>>);
 
 impl Planner {
     /// Returns a planner that holds the claim of a new store.
-    async fn new() -> (Planner, Memory) {
+    pub async fn new() -> (Planner, Memory) {
         let store = Memory::default();
         let holder = Holder {
             process: "entry".to_owned(),
@@ -82,7 +85,7 @@
     }
 
     /// Starts an agent that reports to this planner.
-    fn agent(&self, store: &Memory, worker: &FakeWorker) -> Agent {
+    pub fn agent(&self, store: &Memory, worker: &FakeWorker) -> Agent {
         let config = Config {
             agent: "agent".into(),
             survival: Options::default().survival,
@@ -101,15 +104,26 @@
     }
 
     /// Replaces the orders by `starts` at a worker.
-    fn order(&self, worker: &FakeWorker, starts: Vec<Start>) {
-        let life = Some(heartbeat(worker, 0).life);
-        self.lock().orders = Orders {
-            life,
+    pub fn order(&self, worker: &FakeWorker, starts: Vec<Start>) {
+        let mut data = self.lock();
+        data.orders = Orders {
+            life: Some(heartbeat(worker, 0).life),
             starts,
+            speed: data.orders.speed,
             ..Orders::default()
         };
     }
 
+    /// Tells agents what is known of their workers' speed.
+    pub fn set_speed(&self, speed: Speed) {
+        self.lock().orders.speed = Some(speed);
+    }
+
+    /// Returns the lives that reports named as gone.
+    pub fn gone(&self) -> Vec<Life> {
+        self.lock().gone.clone()
+    }
+
     /// Waits for a report in which `wanted` finds a value; returns the value.
     async fn wait_for_report<T>(
         &self,
@@ -155,6 +169,7 @@
         let hold = {
             let mut data = self.lock();
             data.last_report = Some(report.clone());
+            data.gone.extend(report.gone.clone());
             data.hold
         };
         tokio::time::sleep(ANSWER_DELAY + hold).await;
@@ -173,18 +188,20 @@
     }
 }
 
-struct Agent {
-    member: Member<FakeWorker, Memory>,
+/// An agent that reports to a [`Planner`].
+pub struct Agent {
+    pub member: Member<FakeWorker, Memory>,
     task: JoinHandle<()>,
 }
 
 impl Agent {
-    fn kill(self) {
+    pub fn kill(self) {
         self.task.abort();
     }
 }
 
-fn start(index: u32) -> Start {
+/// Returns the order to start a task's first run.
+pub fn start(index: u32) -> Start {
     Start {
         task: Task {
             job: "a".into(),
@@ -208,7 +225,8 @@
     }
 }
 
-async fn wait_until_known(planner: &Planner) {
+/// Waits until a report describes the worker.
+pub async fn wait_until_known(planner: &Planner) {
     let known = |report: &Report| report.worker.as_ref().map(|_| ());
     planner.wait_for_report("the worker is known", known).await;
 }
