A cancel that finds no job bars the job

Cause: the cancel took one read that found nothing for proof that the job would never be. A write without answer may be carried out seconds later, and nothing stood in its way. What the entry knew of its own writes could not help: the cancel may come to another entry, or while the submission waits.

Change: a cancel is always a write. If there is a job, its revision is the condition; else the job's absence is, and the record stays for 120 s by a lease (longer than the longest submission, 30 s, and a late write, 60 s: asserted). A job's own write requires that there is no such record. A planner that follows the records counts a cancellation that precedes its job, as one that takes over did. Reading the stage of jobs has a module of its own.

Related paths: a late cancel of a job whose records had been removed left its record for ever (mended by the condition). A GET answered 410 after a 504 is a statement about that moment; no promise rests on it.

--- a/src/cell/admission/mod.rs
+++ b/src/cell/admission/mod.rs
@@ -1,4 +1,13 @@
 //! Accepts and cancels jobs, and reports how far they have come.
+//!
+//! A write that was not answered may still be carried out seconds later. That
+//! a job is absent is therefore no proof that it stays absent: a cancellation
+//! leaves a record that a late write of the job must meet.
+
+mod cancel;
+mod stage;
+
+pub use crate::cell::admission::stage::Stage;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -14,9 +23,6 @@
 use crate::graph;
 use crate::graph::Job;
 use crate::graph::JobId;
-use crate::graph::Outcome;
-use crate::graph::Progress;
-use crate::store::Change;
 use crate::store::Compare;
 use crate::store::Error;
 use crate::store::Item;
@@ -36,17 +42,21 @@
 /// serves took 340 ms, and a job that waits for an answer that never comes is
 /// late 1.5 s after it was sent.
 const FIRST_WRITE_TIMEOUT: Duration = Duration::from_millis(350);
-/// How long a request for a running job's state waits for the job's end: the
-/// time that an end takes from the worker through the planner into the store,
-/// with a margin.
-const END_WAIT: Duration = Duration::from_millis(120);
-/// The time beyond [`END_WAIT`] that such a request may take.
-const END_SLACK: Duration = Duration::from_millis(100);
-/// The shortest wait that is worth a call.
-const MIN_WAIT: Duration = Duration::from_millis(10);
 /// How long an unanswered write is remembered: longer than a late write can
 /// take.
 const UNANSWERED_WRITE_TTL: Duration = Duration::from_secs(60);
+/// The longest that a submission may take, whatever its caller's deadline.
+const MAX_SUBMISSION_TIME: Duration = Duration::from_secs(30);
+/// How long the cancellation of an unknown job bars that job.
+pub const CANCELLED_ID_TTL: Duration = Duration::from_secs(120);
+
+// Submissions that began before the cancellation must not outlast it, nor must
+// their last write.
+const _: () = {
+    let latest =
+        MAX_SUBMISSION_TIME.as_secs() + UNANSWERED_WRITE_TTL.as_secs();
+    assert!(latest < CANCELLED_ID_TTL.as_secs());
+};
 
 /// The outcome of a submission.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,17 +67,9 @@
     Refused,
     /// The job may be stored. The caller must ask again under the same name.
     Unsure,
-}
-
-/// How far a job has come, for its caller.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stage {
-    /// No task of the job has begun.
-    Queued,
-    /// A task of the job has begun.
-    Running,
-    /// The job has ended.
-    Ended(Outcome),
+    /// The job is not stored and cannot be for [`CANCELLED_ID_TTL`], because
+    /// its name was cancelled while there was no such job.
+    Cancelled,
 }
 
 /// The store did not answer in time.
@@ -127,6 +129,7 @@
             Submitted::Accepted => "accepted",
             Submitted::Refused => "refused",
             Submitted::Unsure => "unsure",
+            Submitted::Cancelled => "cancelled",
         };
         let labels = [label("outcome", outcome)];
         metrics::get().submissions.add(1, &labels);
@@ -143,11 +146,15 @@
         deadline: Instant,
     ) -> Submitted {
         let began = Instant::now();
-        let deadline = began + deadline.duration_since(began) / 2;
+        let time = deadline.duration_since(began) / 2;
+        let deadline = began + time.min(MAX_SUBMISSION_TIME);
         let key = keys::job(&job.id);
-        let absent = [Compare::Modified(key.clone(), 0)];
+        let absent = [
+            Compare::Modified(key.clone(), 0),
+            Compare::Modified(keys::cancel(&job.id), 0),
+        ];
         let puts = vec![
-            Mutation::Value(key, value, 0),
+            Mutation::Value(key.clone(), value, 0),
             Mutation::Value(
                 keys::waiting_job(&job.queue, &job.id),
                 Vec::new(),
@@ -171,8 +178,15 @@
             let answer = (Instant::now() + limit).min(deadline);
             limit *= 2;
             match tokio::time::timeout_at(answer, swap).await {
-                Ok(Ok(Swap::Written(_) | Swap::Refused(_))) => {
-                    return Submitted::Accepted;
+                Ok(Ok(Swap::Written(_))) => return Submitted::Accepted,
+                Ok(Ok(Swap::Refused(items))) => {
+                    let stored = items.iter().any(|item| item.key == key);
+                    return match (stored, self.is_unsure(&job.id)) {
+                        (true, _) => Submitted::Accepted,
+                        (false, false) => Submitted::Cancelled,
+                        // The cancellation may end before a late write does.
+                        (false, true) => Submitted::Unsure,
+                    };
                 }
                 Ok(Err(Error::Unreached(error))) => {
                     slog::warn!(self.log, "entry: the store rejected a job";
@@ -185,126 +199,6 @@
         }
     }
 
-    /// Cancels a job. Returns whether the job exists.
-    ///
-    /// # Errors
-    ///
-    /// If the store does not answer before the deadline.
-    pub async fn cancel(
-        &self,
-        id: &str,
-        deadline: Instant,
-    ) -> Result<bool, Unavailable> {
-        let job = self.read(&keys::job(id), deadline).await?;
-        if job.is_none() {
-            return Ok(false);
-        }
-        let key = keys::cancel(id);
-        let absent = [Compare::Modified(key.clone(), 0)];
-        loop {
-            let puts = vec![Mutation::Value(key.clone(), b"{}".to_vec(), 0)];
-            let swap = self.store.swap(&absent, puts);
-            match tokio::time::timeout_at(deadline, swap).await {
-                Ok(Ok(_)) => break,
-                Ok(Err(error)) => pause_before_retry(error, deadline).await?,
-                Err(_) => return Err(Unavailable("in time".to_owned())),
-            }
-        }
-        slog::info!(self.log, "entry: a job is cancelled"; "job" => id);
-        Ok(true)
-    }
-
-    /// Returns how far a job has come, or `None` if there is no such job. For
-    /// a running job the call waits briefly for its end, because callers often
-    /// ask just as it ends.
-    ///
-    /// # Errors
-    ///
-    /// If the store does not answer before the deadline.
-    pub async fn stage(
-        &self,
-        id: &str,
-        deadline: Instant,
-    ) -> Result<Option<Stage>, Unavailable> {
-        let progress = self.read(&keys::progress(id), deadline).await?;
-        let ended = progress.as_ref().map(outcome).transpose()?.flatten();
-        if let Some(outcome) = ended {
-            return Ok(Some(Stage::Ended(outcome)));
-        }
-        // A stored cancellation does not make the job count as cancelled here:
-        // the job may have ended before, which only the planner knows, and a
-        // reported state must never be taken back.
-        if let Some(progress) = progress {
-            let ended = self.wait_for_end(&progress, deadline).await;
-            return Ok(Some(ended.map_or(Stage::Running, Stage::Ended)));
-        }
-        let job = self.read(&keys::job(id), deadline).await?;
-        Ok(job.map(|_| Stage::Queued))
-    }
-
-    /// Waits briefly for a job's end.
-    async fn wait_for_end(
-        &self,
-        progress: &Item,
-        deadline: Instant,
-    ) -> Option<Outcome> {
-        let until = (Instant::now() + END_WAIT).min(deadline);
-        let mut after = progress.modified;
-        loop {
-            let now = Instant::now();
-            let wait = until.saturating_duration_since(now);
-            if wait < MIN_WAIT {
-                return None;
-            }
-            let changes = self.store.changes(&progress.key, after, wait);
-            // Without an answer the caller gets the state read before.
-            let limit = (until + END_SLACK).min(deadline);
-            let changes = tokio::time::timeout_at(limit, changes).await;
-            let changes = changes.ok()?.ok()?;
-            after = after.max(changes.revision);
-            // The store reports all keys with this prefix, and so also those
-            // of jobs with a longer name.
-            let matching = changes.changes.into_iter().rev();
-            let mut matching = matching.filter(|c| c.key() == progress.key);
-            let item = match matching.next() {
-                Some(Change::Put(item)) => item,
-                Some(Change::Deleted(..)) => return None,
-                None => continue,
-            };
-            match outcome(&item) {
-                Ok(None) => {}
-                Ok(ended) => return ended,
-                Err(error) => {
-                    slog::error!(self.log,
-                        "entry: a job's progress cannot be decoded";
-                        "key" => &item.key, "error" => %error);
-                    return None;
-                }
-            }
-        }
-    }
-
-    /// Returns the number of jobs in a queue that have not begun.
-    ///
-    /// # Errors
-    ///
-    /// If the store does not answer before the deadline.
-    pub async fn pending(
-        &self,
-        queue: &str,
-        deadline: Instant,
-    ) -> Result<usize, Unavailable> {
-        let prefix = keys::waiting_prefix(queue);
-        loop {
-            let list = self.store.list(&prefix);
-            match tokio::time::timeout_at(deadline, list).await {
-                Ok(Ok(listing)) => return Ok(listing.items.len()),
-                Ok(Err(error)) => pause_before_retry(error, deadline).await?,
-                Err(_) => return Err(Unavailable("in time".to_owned())),
-            }
-        }
-    }
-
     async fn read(
         &self,
         key: &str,
@@ -335,13 +229,6 @@
     }
 }
 
-/// Returns the outcome in a stored progress, if the job has ended.
-fn outcome(progress: &Item) -> Result<Option<Outcome>, Unavailable> {
-    serde_json::from_slice::<Progress>(&progress.value)
-        .map(|progress| progress.outcome)
-        .map_err(|error| Unavailable(error.to_string()))
-}
-
 /// Pauses before a call is retried, or fails if the deadline is too close.
 async fn pause_before_retry(
     error: Error,
--- a/src/cell/keys.rs
+++ b/src/cell/keys.rs
@@ -5,7 +5,7 @@
 //! | `lv/planner` | entries | a claim is made, under a lease |
 //! | `lv/strongest` | entries | the strongest process so far claims |
 //! | `lv/in/ID/job` | entries | a job is accepted |
-//! | `lv/in/ID/cancel` | entries | a job is cancelled |
+//! | `lv/in/ID/cancel` | entries | a job is cancelled; under a lease if there is no such job |
 //! | `lv/queue/QUEUE/ID` | entries, planner | while an accepted job waits |
 //! | `lv/progress/ID` | planner | a run is ordered, or has ended |
 //! | `lv/entry/DIGITS-ENTRY` | entries | while the entry runs, under a lease |
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -13,7 +13,7 @@
 //!
 //! All durable state is in the store, under [`keys`].
 
-mod admission;
+pub mod admission;
 pub mod advice;
 pub mod claim;
 pub mod configuration;
--- a/src/cell/planner/mod.rs
+++ b/src/cell/planner/mod.rs
@@ -123,6 +123,8 @@
     /// The jobs whose progress cannot be decoded. Their past runs are unknown,
     /// so nothing of them may begin.
     unreadable: BTreeSet<String>,
+    /// The cancelled jobs that were not accepted, as the store shows them.
+    cancelled_early: BTreeSet<String>,
     writing: bool,
     removing: bool,
     deciding: bool,
@@ -217,6 +219,7 @@
             records: Records::default(),
             unclaimed_progress: BTreeMap::new(),
             unreadable: BTreeSet::new(),
+            cancelled_early: BTreeSet::new(),
             writing: false,
             removing: false,
             deciding: false,
@@ -258,6 +261,7 @@
     }
 
     fn apply_listing(&mut self, listing: Listing) {
+        self.cancelled_early.clear();
         let jobs = listing.items.into_iter().map(Change::Put).collect();
         self.apply_changes(jobs);
     }
@@ -266,13 +270,20 @@
         let now = Timestamp::now();
         let mut cancelled = Vec::new();
         for change in changes {
-            let Change::Put(item) = change else {
-                continue;
+            let item = match change {
+                Change::Put(item) => item,
+                Change::Deleted(key, _) => {
+                    self.forget_cancellation(&key);
+                    continue;
+                }
             };
             match keys::intake(&item.key) {
                 Some(Intake::Job(id)) if self.unreadable.contains(id) => {}
                 Some(Intake::Job(id)) if !self.scheduler.has_job(id) => {
                     self.accept(id, &item.value, now);
+                    if self.cancelled_early.remove(id) {
+                        cancelled.push(id.to_owned());
+                    }
                 }
                 Some(Intake::Cancel(id)) => cancelled.push(id.to_owned()),
                 _ => {}
@@ -281,7 +292,19 @@
         // In key order a cancellation precedes its job, so cancellations are
         // applied last.
         for id in cancelled {
-            self.scheduler.cancel_job(&id, now);
+            match self.scheduler.has_job(&id) {
+                true => self.scheduler.cancel_job(&id, now),
+                false => {
+                    self.cancelled_early.insert(id);
+                }
+            }
+        }
+    }
+
+    /// Forgets the cancellation that a removed key held.
+    fn forget_cancellation(&mut self, key: &str) {
+        if let Some(Intake::Cancel(id)) = keys::intake(key) {
+            self.cancelled_early.remove(id);
         }
     }
 
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -72,6 +72,13 @@
     log: Vec<Change>,
     /// The number of next writes that take effect without an answer.
     answers_to_lose: u32,
+    /// The number of next writes that are not answered and are carried out
+    /// later.
+    writes_to_hold: u32,
+    /// The writes that were not carried out yet, as conditions and mutations.
+    held_writes: Vec<(Vec<Compare>, Vec<Mutation>)>,
+    /// Whether the held writes are carried out just before the next write.
+    held_overtake: bool,
     /// The number of next calls that are rejected.
     calls_to_reject: u32,
     /// The number of requested writes.
@@ -90,6 +97,26 @@
         self.lock().answers_to_lose = answers;
     }
 
+    /// Leaves the next writes unanswered until [`Memory::do_held_writes`].
+    pub fn hold_writes(&self, writes: u32) {
+        self.lock().writes_to_hold = writes;
+    }
+
+    /// Carries out the held writes whose conditions still hold.
+    pub fn do_held_writes(&self) {
+        self.lock().do_held_writes();
+    }
+
+    /// Carries out the held writes just before the next write.
+    pub fn do_held_writes_before_next(&self) {
+        self.lock().held_overtake = true;
+    }
+
+    /// Returns whether a key exists.
+    pub fn has_key(&self, key: &str) -> bool {
+        self.lock().items.contains_key(key)
+    }
+
     /// Rejects the next calls.
     pub fn reject_calls(&self, calls: u32) {
         self.lock().calls_to_reject = calls;
@@ -161,6 +188,25 @@
         }
     }
 
+    /// Returns whether all conditions hold.
+    fn holds(&self, conditions: &[Compare]) -> bool {
+        conditions.iter().all(|condition| {
+            let (Compare::Created(key, revision)
+            | Compare::Modified(key, revision)) = condition;
+            let item = self.items.get(key).map(|(item, _)| item);
+            item.map_or(0, |item| item.modified) == *revision
+        })
+    }
+
+    /// Carries out the held writes whose conditions still hold.
+    fn do_held_writes(&mut self) {
+        for (conditions, mutations) in std::mem::take(&mut self.held_writes) {
+            if self.holds(&conditions) {
+                self.apply(mutations);
+            }
+        }
+    }
+
     /// Applies the mutations of one transaction.
     fn apply(&mut self, mutations: Vec<Mutation>) {
         self.revision += 1;
@@ -210,19 +256,19 @@
     ) -> Result<Swap, Error> {
         self.lock().writes += 1;
         let mut data = self.begin_call()?;
-        let keys: Vec<(&String, Revision)> = conditions
-            .iter()
-            .map(|c| match c {
-                Compare::Created(key, rev) | Compare::Modified(key, rev) => {
-                    (key, *rev)
-                }
-            })
-            .collect();
-        let holds = keys.iter().all(|(key, rev)| {
-            data.items.get(*key).map_or(0, |(i, _)| i.modified) == *rev
-        });
-        if !holds {
-            let items = keys.iter().filter_map(|(k, _)| data.items.get(*k));
+        if data.writes_to_hold > 0 {
+            data.writes_to_hold -= 1;
+            data.held_writes.push((conditions.to_vec(), mutations));
+            return Err(Error::Lost(lost_answer()));
+        }
+        if std::mem::take(&mut data.held_overtake) {
+            data.do_held_writes();
+        }
+        if !data.holds(conditions) {
+            let keys = conditions.iter().map(|c| match c {
+                Compare::Created(key, _) | Compare::Modified(key, _) => key,
+            });
+            let items = keys.filter_map(|key| data.items.get(key));
             let items = items.map(|(item, _)| item.clone()).collect();
             return Ok(Swap::Refused(items));
         }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod births;
 mod broken;
 mod burst;
+mod cancels;
 mod cell;
 mod closed;
 mod crashes;
