--- a/crates/landingvalve-sim/src/day.rs
+++ b/crates/landingvalve-sim/src/day.rs
@@ -48,6 +48,16 @@
 const MAX_SUBMIT_ATTEMPTS: u32 = 6;
 /// Time after the last fault within which all accepted jobs must have ended.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(90);
+/// Mean time from one goodbye to the next.
+const MEAN_GOODBYE_INTERVAL: Duration = Duration::from_millis(1500);
+/// Longest time that a worker stays up after its goodbye, in ms.
+const MAX_STAY_MS: u64 = 2000;
+/// Longest time from a caller's first submission to a cancel that does not
+/// wait for the acceptance, in ms.
+const MAX_EARLY_CANCEL_MS: u64 = 4000;
+/// Distinguishes the draws of goodbyes and early cancels from the others of a
+/// seed.
+const DEPARTURES_SEED: u64 = 0x6465_7061_7274;
 /// Mean time from one fault to the next.
 const MEAN_FAULT_INTERVAL: Duration = Duration::from_millis(1500);
 
@@ -65,6 +75,10 @@
     /// Duration of the first part of the day, in which faults begin and over
     /// which the jobs are spread.
     pub fault_duration: Duration,
+    /// Whether workers say goodbye, in time or late, and callers cancel jobs
+    /// whose acceptance they have not heard. Off in the days whose seeds were
+    /// recorded before these were drawn.
+    pub has_departures: bool,
 }
 
 impl Scenario {
@@ -77,6 +91,15 @@
             workers: 6,
             jobs: 40,
             fault_duration: Duration::from_secs(40),
+            has_departures: true,
+        }
+    }
+
+    /// Returns how late the store may carry out a write at most.
+    fn max_write_delay(&self) -> Duration {
+        match self.has_departures {
+            true => Duration::from_secs(8),
+            false => Duration::from_secs(4),
         }
     }
 }
@@ -138,6 +161,8 @@
 struct Day {
     scenario: Scenario,
     random: fastrand::Rng,
+    /// Draws goodbyes and early cancels.
+    departures: fastrand::Rng,
     network: Network,
     store: Server,
     checker: Checker,
@@ -161,6 +186,8 @@
     Agent(usize),
     /// Restarts a worker that is down.
     Up(usize),
+    /// Ends a worker that has said goodbye.
+    Leave(usize),
     /// Clears the faults of a worker.
     Worker(usize),
     /// Clears the faults of the store.
@@ -186,8 +213,11 @@
         Day {
             scenario,
             random: fastrand::Rng::with_seed(scenario.seed),
+            departures: fastrand::Rng::with_seed(
+                scenario.seed ^ DEPARTURES_SEED,
+            ),
             network: Network::default(),
-            store: Server::new(scenario.seed),
+            store: Server::new(scenario.seed, scenario.max_write_delay()),
             checker: checker.clone(),
             entries: (0..scenario.entries).map(|_| None).collect(),
             admissions: Admissions::default(),
@@ -225,6 +255,7 @@
             self.scenario.fault_duration / (self.scenario.jobs as u32 + 1);
         let mut next_job = self.start + Duration::from_secs(3);
         let mut next_fault = self.start + Duration::from_secs(4);
+        let mut next_goodbye = next_fault;
         let mut next_heartbeat = self.start;
         let mut submitted = 0;
         let mut tick = tokio::time::interval(TICK_INTERVAL);
@@ -248,6 +279,12 @@
                 next_fault = now + wait;
                 self.inject_fault(now);
             }
+            let departs = self.scenario.has_departures;
+            if departs && now >= next_goodbye && now < faults_end {
+                let share = 2.0 * self.departures.f64();
+                next_goodbye = now + MEAN_GOODBYE_INTERVAL.mul_f64(share);
+                self.say_goodbye(now);
+            }
             let timed_out = now >= faults_end + SETTLE_TIMEOUT;
             let settled = now >= faults_end && self.pending_undos.is_empty();
             let done = settled
@@ -398,6 +435,31 @@
         }
     }
 
+    /// Lets a worker say goodbye, or lets the goodbye of an earlier birth
+    /// arrive. A goodbye is at times not received.
+    fn say_goodbye(&mut self, now: Instant) {
+        let at = self.departures.usize(..self.agents.len());
+        let leaves = self.departures.u32(..3) == 0;
+        let is_received = !leaves || self.departures.u32(..4) > 0;
+        let stay = Duration::from_millis(self.departures.u64(..MAX_STAY_MS));
+        let agent = &self.agents[at];
+        let is_late = !leaves && agent.endpoint.keeps_earlier_name();
+        if !agent.endpoint.is_up() || !(leaves || is_late) {
+            return;
+        }
+        let name = agent.endpoint.life_name();
+        let kind = if leaves { "leaves" } else { "late goodbye" };
+        *self.faults.entry(kind).or_default() += 1;
+        self.checker
+            .record(format!("{kind} of {name}, received: {is_received}"));
+        if let (Some(member), true) = (&agent.member, is_received) {
+            member.worker_left(&name);
+        }
+        if leaves {
+            self.pending_undos.push((now + stay, Undo::Leave(at)));
+        }
+    }
+
     fn send_heartbeats(&mut self) {
         for agent in &self.agents {
             if let Some(member) = &agent.member {
@@ -443,12 +505,22 @@
             checker: self.checker.clone(),
             random: self.random.fork(),
             cancel_after: cancel.map(Duration::from_millis),
+            cancel_early: self.draw_early_cancel(),
             until,
             admissions: self.admissions.clone(),
         };
         self.callers.push(tokio::spawn(caller.run()));
     }
 
+    /// Returns how long after its first submission a caller cancels the job
+    /// whatever it has heard, if it does.
+    fn draw_early_cancel(&mut self) -> Option<Duration> {
+        let cancels = self.departures.u32(..8) == 0;
+        let ms = self.departures.u64(..MAX_EARLY_CANCEL_MS);
+        let after = Duration::from_millis(ms);
+        Some(after).filter(|_| cancels && self.scenario.has_departures)
+    }
+
     fn draw_step(&mut self, at: usize) -> Step {
         let gang = self.random.u32(..3) == 0;
         Step {
@@ -483,6 +555,7 @@
                     self.start_agent(at);
                 }
                 Undo::Up(at) => self.agents[at].endpoint.restart(),
+                Undo::Leave(at) => self.agents[at].endpoint.crash(),
                 Undo::Worker(at) => {
                     self.agents[at]
                         .endpoint
@@ -628,20 +701,39 @@
 }
 
 /// A caller that submits a job and polls it until it has ended.
+#[derive(Clone)]
 struct Caller {
     job: Job,
     checker: Checker,
     random: fastrand::Rng,
+    /// How long after the acceptance the caller cancels the job.
     cancel_after: Option<Duration>,
+    /// How long after the first submission the caller cancels the job, without
+    /// regard to answers.
+    cancel_early: Option<Duration>,
     until: Instant,
     admissions: Admissions,
 }
 
 impl Caller {
     async fn run(mut self) {
-        if !self.submit().await {
-            return;
-        }
+        let canceller = self.clone();
+        let cancelling = async move {
+            if let Some(after) = self.cancel_early {
+                tokio::time::sleep(after).await;
+                canceller.cancel_until_answered().await;
+            }
+        };
+        let submitting = async move {
+            if self.submit().await {
+                self.follow().await;
+            }
+        };
+        tokio::join!(submitting, cancelling);
+    }
+
+    /// Polls the accepted job, and cancels it when that is due.
+    async fn follow(mut self) {
         let id = self.job.id.clone();
         self.checker.record_acceptance(&id);
         let accepted_at = Instant::now();
@@ -658,8 +750,8 @@
                 let cancelled = admission.cancel(&id, deadline);
                 let result =
                     tokio::time::timeout(CALL_TIMEOUT, cancelled).await;
-                if let Ok(Ok(true)) = result {
-                    self.checker.record_cancellation(&id);
+                if let Ok(Ok(found)) = result {
+                    self.checker.record_cancellation(&id, found);
                     self.cancel_after = None;
                 }
             }
@@ -674,6 +766,25 @@
         }
     }
 
+    /// Cancels the job at one entry after the other until one has answered,
+    /// whether or not it knows the job.
+    async fn cancel_until_answered(mut self) {
+        let id = self.job.id.clone();
+        while Instant::now() < self.until {
+            if let Some(admission) = self.pick_admission() {
+                let deadline = Instant::now() + CALL_TIMEOUT;
+                let cancelled = admission.cancel(&id, deadline);
+                let result =
+                    tokio::time::timeout(CALL_TIMEOUT, cancelled).await;
+                if let Ok(Ok(found)) = result {
+                    self.checker.record_cancellation(&id, found);
+                    return;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(400)).await;
+        }
+    }
+
     async fn submit(&mut self) -> bool {
         for _ in 0..MAX_SUBMIT_ATTEMPTS {
             if let Some(admission) = self.pick_admission() {
--- a/crates/landingvalve-sim/src/invariants.rs
+++ b/crates/landingvalve-sim/src/invariants.rs
@@ -101,10 +101,12 @@
         data.accepted.insert(id.clone());
     }
 
-    /// Records that a cancel was acknowledged.
-    pub fn record_cancellation(&self, id: &JobId) {
+    /// Records that a cancel was acknowledged, either of a known job or with
+    /// the answer that there is no such job. Nothing of the job may start after
+    /// either one.
+    pub fn record_cancellation(&self, id: &JobId, found: bool) {
         let mut data = lock(&self.0);
-        data.record(format!("{id} is cancelled"));
+        data.record(format!("{id} is cancelled, found: {found}"));
         data.cancelled.entry(id.clone()).or_insert(Instant::now());
     }
 
--- a/crates/landingvalve-sim/src/main.rs
+++ b/crates/landingvalve-sim/src/main.rs
@@ -32,6 +32,9 @@
     /// Duration of the faults, in seconds.
     #[arg(long, default_value_t = 40)]
     seconds: u64,
+    /// Leave out goodbyes of workers and cancels before the acceptance.
+    #[arg(long)]
+    no_departures: bool,
     /// Stop at the first day that violates an invariant.
     #[arg(long)]
     first: bool,
@@ -55,6 +58,7 @@
             workers: args.workers,
             jobs: args.jobs,
             fault_duration: Duration::from_secs(args.seconds),
+            has_departures: !args.no_departures,
         });
         starts += report.starts;
         repeated_starts += report.repeated_starts;
--- a/crates/landingvalve-sim/src/store.rs
+++ b/crates/landingvalve-sim/src/store.rs
@@ -29,8 +29,6 @@
 const CLIENT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Interval at which a waiting call checks for changes.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// Maximum delay of a write whose answer is lost, in ms.
-const MAX_DELAY_MS: u64 = 4000;
 
 /// Active faults of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -53,6 +51,8 @@
 struct Data {
     faults: Faults,
     random: fastrand::Rng,
+    /// Maximum delay of a write whose answer is lost, in ms.
+    max_delay_ms: u64,
     revision: Revision,
     items: BTreeMap<String, (Item, LeaseId)>,
     leases: BTreeMap<LeaseId, (Instant, Duration)>,
@@ -68,11 +68,13 @@
 pub struct Server(Arc<Mutex<Data>>);
 
 impl Server {
-    /// Returns an empty store that draws its faults from a seed.
-    pub fn new(seed: u64) -> Server {
+    /// Returns an empty store that draws its faults from a seed, and carries
+    /// out a write whose answer is lost up to `max_delay` later.
+    pub fn new(seed: u64, max_delay: Duration) -> Server {
         let random = fastrand::Rng::with_seed(seed);
         Server(Arc::new(Mutex::new(Data {
             random,
+            max_delay_ms: max_delay.as_millis() as u64,
             ..Data::default()
         })))
     }
@@ -273,8 +275,9 @@
             let mut data = lock(&self.server.0);
             let share = data.faults.lost_share;
             let lost = data.random.f64() < share;
+            let max_delay_ms = data.max_delay_ms;
             let delay_ms =
-                data.random.bool().then(|| data.random.u64(..MAX_DELAY_MS));
+                data.random.bool().then(|| data.random.u64(..max_delay_ms));
             (lost, delay_ms)
         };
         if !lost {
--- a/crates/landingvalve-sim/src/worker.rs
+++ b/crates/landingvalve-sim/src/worker.rs
@@ -167,7 +167,9 @@
     /// Takes the worker down together with its running tasks.
     pub fn crash(&self) {
         let mut data = lock(&self.data);
-        self.go_down(&mut data);
+        if data.up {
+            self.go_down(&mut data);
+        }
     }
 
     fn go_down(&self, data: &mut Data) {
@@ -192,6 +194,17 @@
         lock(&self.data).up
     }
 
+    /// Returns the name of the present life, without its birth.
+    pub fn life_name(&self) -> String {
+        lock(&self.data).life().name().to_owned()
+    }
+
+    /// Returns whether the present birth has the name of an earlier one.
+    pub fn keeps_earlier_name(&self) -> bool {
+        let data = lock(&self.data);
+        data.keeps_name && data.births > 1
+    }
+
     /// Starts a new birth of the worker, without tasks.
     pub fn restart(&self) {
         let mut data = lock(&self.data);
--- a/crates/landingvalve-sim/tests/days.rs
+++ b/crates/landingvalve-sim/tests/days.rs
@@ -27,14 +27,22 @@
 
 /// Simulates a day that may violate no invariant and returns its number of
 /// starts.
-fn simulate(seed: u64) -> u64 {
-    let report = day::simulate(Scenario::with_seed(seed));
+fn check(scenario: Scenario) -> u64 {
+    let report = day::simulate(scenario);
     let timeline = report.timeline.join("\n");
     let broken = &report.violations;
-    assert!(broken.is_empty(), "seed {seed}: {broken:#?}\n{timeline}");
+    assert!(broken.is_empty(), "{scenario:?}: {broken:#?}\n{timeline}");
     report.starts
 }
 
+/// Simulates a day of a recorded seed, as it was drawn then.
+fn simulate(seed: u64) -> u64 {
+    check(Scenario {
+        has_departures: false,
+        ..Scenario::with_seed(seed)
+    })
+}
+
 #[test]
 fn a_later_birth_forgets_no_unread_end() {
     simulate(FORGOTTEN_END);
@@ -65,6 +73,13 @@
     assert!(starts > DAY_COUNT * 100, "only {starts} tasks began");
 }
 
+#[test]
+fn no_invariant_is_violated_by_goodbyes_and_early_cancels() {
+    let days = FIRST_SEED..FIRST_SEED + DAY_COUNT;
+    let starts: u64 = days.map(|seed| check(Scenario::with_seed(seed))).sum();
+    assert!(starts > DAY_COUNT * 100, "only {starts} tasks began");
+}
+
 #[test]
 fn a_seed_determines_a_day() {
     for seed in FIRST_SEED..FIRST_SEED + 4 {
--- a/crates/landingvalve-sim/tests/growth.rs
+++ b/crates/landingvalve-sim/tests/growth.rs
@@ -161,7 +161,7 @@
     async fn start(agents: usize) -> Fleet {
         let mut fleet = Fleet {
             network: Network::default(),
-            server: Server::new(1),
+            server: Server::new(1, Duration::from_secs(4)),
             entries: Vec::new(),
             of_entries: Usage::default(),
             of_agents: Usage::default(),
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -15,6 +15,7 @@
 
 STATE = "src/cell/member/state.rs"
 ACT = "src/cell/member/act.rs"
+CANCEL = "src/cell/admission/cancel.rs"
 INTAKE = "src/graph/intake.rs"
 ORDERS = "src/graph/orders.rs"
 SETTLE = "src/graph/settle.rs"
@@ -44,6 +45,13 @@
      "if failed && progress.counted < run {", "if false {"),
     ("a worker that leaves its life loses nothing", INTAKE,
      "self.end_lost(|p| p.agent == *agent && p.life != life, now);", ""),
+    ("a goodbye ends the life at once", STATE,
+     "view.goodbye = Some(goodbye);",
+     "view.goodbye = Some(goodbye); view.over = Some(Over::Left);"),
+    ("a cancel that finds no job writes nothing", CANCEL,
+     "let cancelled = self.try_cancel(",
+     "if revision == 0 { return Ok(false); }\n"
+     "let cancelled = self.try_cancel("),
     ("a refused start is not barred when its fate is unknown", ACT,
      "let sure = !*unsure && why != Refusal::Room;", "let sure = true;"),
 ]
