Progress of wide jobs is stored in parts; a rejected record stops no other job

Cause: a job's progress was one value, which outgrew value_bytes once the loss and the checkpoints were in it. The platform's client took the store's 400 for a call that had not reached it, and the writer repeated it for ever, one batch at a time.

Change: from 64 KiB on the units of a job are stored in parts of 64 units (lv/part/ID/PART), the head (lv/progress/ID) keeps the outcome, and a change writes what changed, in transactions of at most 32 entries. Nothing is ordered and no end is acknowledged before all of a version is written, so that parts of different age are a true state (cell::record says why). A planner that finds units which settle the outcome, but not the outcome, ends the job. Smaller jobs are stored as before. A call that the store does not take (400, 403, 413) is an error of its own: the job it belongs to is left as it is, with a log line and a metric, the others go on; a submission is answered 413.

A takeover makes one more listing.

What is left: a gang of thousands of members is one unit, and checkpoints of some 8 KB and more can make a part too large; such a job is set aside.

--- a/src/cell/admission/mod.rs
+++ b/src/cell/admission/mod.rs
@@ -67,6 +67,8 @@
     Refused,
     /// The job may be stored. The caller must ask again under the same name.
     Unsure,
+    /// The store does not take the job, and will not if it is sent again.
+    Rejected,
     /// The job is not stored and cannot be for [`CANCELLED_ID_TTL`], because
     /// its name was cancelled while there was no such job.
     Cancelled,
@@ -129,6 +131,7 @@
             Submitted::Accepted => "accepted",
             Submitted::Refused => "refused",
             Submitted::Unsure => "unsure",
+            Submitted::Rejected => "rejected",
             Submitted::Cancelled => "cancelled",
         };
         let labels = [label("outcome", outcome)];
@@ -188,6 +191,12 @@
                         (false, true) => Submitted::Unsure,
                     };
                 }
+                Ok(Err(Error::Rejected(error))) => {
+                    slog::error!(self.log,
+                        "entry: the store does not take a job";
+                        "job" => &*job.id, "error" => %error);
+                    return Submitted::Rejected;
+                }
                 Ok(Err(Error::Unreached(error))) => {
                     slog::warn!(self.log, "entry: the store rejected a job";
                         "job" => &*job.id, "error" => %error);
--- a/src/cell/admission/stage.rs
+++ b/src/cell/admission/stage.rs
@@ -8,8 +8,8 @@
 use crate::cell::admission::Admission;
 use crate::cell::admission::Unavailable;
 use crate::cell::keys;
+use crate::cell::record::Ending;
 use crate::graph::Outcome;
-use crate::graph::Progress;
 use crate::store::Change;
 use crate::store::Item;
 use crate::store::Store;
@@ -128,7 +128,7 @@
 
 /// Returns the outcome in a stored progress, if the job has ended.
 fn outcome(progress: &Item) -> Result<Option<Outcome>, Unavailable> {
-    serde_json::from_slice::<Progress>(&progress.value)
-        .map(|progress| progress.outcome)
+    serde_json::from_slice::<Ending>(&progress.value)
+        .map(|ending| ending.outcome)
         .map_err(|error| Unavailable(error.to_string()))
 }
--- a/src/cell/keys.rs
+++ b/src/cell/keys.rs
@@ -8,9 +8,11 @@
 //! | `lv/in/ID/cancel` | entries | a job is cancelled; under a lease if there is no such job |
 //! | `lv/queue/QUEUE/ID` | entries, planner | while an accepted job waits |
 //! | `lv/progress/ID` | planner | a run is ordered, or has ended |
+//! | `lv/part/ID/PART` | planner | the same, for units that are stored in parts |
 //! | `lv/entry/DIGITS-ENTRY` | entries | while the entry runs, under a lease |
 //! | `lv/report/AGENT` | agents | ends are listed and no planner is reached |
 
+use crate::cell::record::PartId;
 use crate::util::digest;
 
 /// The key of the planner's claim.
@@ -24,6 +26,9 @@
 /// The prefix of the jobs' progress, written by planners.
 pub const PROGRESS_PREFIX: &str = "lv/progress/";
 
+/// The prefix of the parts in which the progress of large jobs is stored.
+pub const PART_PREFIX: &str = "lv/part/";
+
 /// The prefix of the reports that agents save while they reach no planner.
 pub const REPORT_PREFIX: &str = "lv/report/";
 
@@ -60,6 +65,22 @@
     format!("{PROGRESS_PREFIX}{id}")
 }
 
+/// Returns the key prefix of the parts of a job's progress.
+pub fn part_prefix(id: &str) -> String {
+    format!("{PART_PREFIX}{id}/")
+}
+
+/// Returns the key of a part of a job's progress.
+pub fn part(id: &str, part: PartId) -> String {
+    format!("{PART_PREFIX}{id}/{part}")
+}
+
+/// Parses a key below [`PART_PREFIX`]: returns the job and its part.
+pub fn parse_part(key: &str) -> Option<(&str, PartId)> {
+    let (id, part) = key.strip_prefix(PART_PREFIX)?.split_once('/')?;
+    Some((id, part.parse().ok()?))
+}
+
 /// Returns the key prefix of a queue's waiting jobs.
 pub fn waiting_prefix(queue: &str) -> String {
     format!("lv/queue/{queue}/")
@@ -80,7 +101,7 @@
         Some("strongest") => "strongest",
         Some("in") => "intake",
         Some("queue") => "queues",
-        Some("progress") => "progress",
+        Some("progress" | "part") => "progress",
         Some("entry") => "entries",
         Some("report") => "reports",
         _ => "others",
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -25,6 +25,7 @@
 pub mod member;
 pub mod planner;
 pub mod reachability;
+pub mod record;
 pub mod relay;
 pub mod rpc;
 pub mod server;
--- a/src/cell/planner/calls.rs
+++ b/src/cell/planner/calls.rs
@@ -13,6 +13,7 @@
 use crate::cell::planner::Message;
 use crate::cell::planner::State;
 use crate::cell::writer;
+use crate::cell::writer::Batch;
 use crate::clock;
 use crate::graph::AgentId;
 use crate::graph::JobId;
@@ -20,6 +21,7 @@
 use crate::graph::Timestamp;
 use crate::store::Mutation;
 use crate::store::Store;
+use crate::store::Swap;
 
 /// How long records of ended jobs are kept; callers may ask for a job for 120
 /// s.
@@ -27,6 +29,8 @@
 /// The most jobs whose records are removed in one transaction, with three
 /// entries for each.
 const MAX_REMOVED_JOBS: usize = 8;
+/// The most keys of parts that are removed in one transaction.
+const MAX_REMOVED_KEYS: usize = 30;
 
 impl<S: Store> State<S> {
     /// Asks which workers may run a step, one question at a time.
@@ -102,11 +106,13 @@
         self.writing = true;
         let store = self.store.clone();
         let claim = self.claim.clone();
-        let records = self.records.subset(&batch);
+        let batch = Batch::new(batch, &self.records);
         let myself = myself.clone();
         tokio::spawn(async move {
-            let written =
-                writer::write(&store, &claim, &records, &batch).await;
+            let written = match batch {
+                Ok(batch) => writer::write(&store, &claim, batch).await,
+                Err(error) => Err(error.into()),
+            };
             // A stopped planner needs no outcome.
             let _ = myself.cast(Message::Written(written));
         });
@@ -126,30 +132,38 @@
             return;
         }
         self.removing = true;
-        let puts: Vec<Mutation> = ids
+        // The head goes last: parts without it would be taken for progress.
+        let parts: Vec<String> = ids
             .iter()
-            .flat_map(|id| {
-                [keys::job(id), keys::cancel(id), keys::progress(id)]
-            })
-            .map(Mutation::Delete)
+            .flat_map(|id| self.records.part_keys(id))
             .collect();
+        let heads = ids.iter().flat_map(|id| {
+            [keys::job(id), keys::cancel(id), keys::progress(id)]
+        });
+        let mut removals: Vec<Vec<String>> =
+            parts.chunks(MAX_REMOVED_KEYS).map(<[_]>::to_vec).collect();
+        removals.push(heads.collect());
         let store = self.store.clone();
         let condition = self.claim.condition();
         let log = self.log.clone();
         let myself = myself.clone();
         tokio::spawn(async move {
-            let removed = store.swap(&[condition], puts).await;
-            let ids = match removed {
-                Ok(crate::store::Swap::Written(_)) => ids,
-                other => {
-                    slog::warn!(log,
-                        "planner: records of ended jobs could not be removed";
-                        "outcome" => ?other);
-                    Vec::new()
+            let mut removed = ids;
+            for keys in removals {
+                let keys = keys.into_iter().map(Mutation::Delete).collect();
+                match store.swap(std::slice::from_ref(&condition), keys).await
+                {
+                    Ok(Swap::Written(_)) => {}
+                    other => {
+                        slog::warn!(log, "planner: records of ended jobs \
+                             could not be removed"; "outcome" => ?other);
+                        removed.clear();
+                        break;
+                    }
                 }
-            };
+            }
             // A stopped planner needs no outcome.
-            let _ = myself.cast(Message::Removed(ids));
+            let _ = myself.cast(Message::Removed(removed));
         });
     }
 }
--- a/src/cell/planner/mod.rs
+++ b/src/cell/planner/mod.rs
@@ -19,6 +19,8 @@
 use crate::cell::decision_log::Recorder;
 use crate::cell::keys;
 use crate::cell::keys::Intake;
+use crate::cell::record::Head;
+use crate::cell::record::Part;
 use crate::cell::rpc::Answer;
 use crate::cell::writer;
 use crate::cell::writer::Records;
@@ -103,6 +105,8 @@
     pub intake: Listing,
     /// The jobs' progress that earlier planners have written.
     pub progress: Listing,
+    /// The parts of the progress of jobs that are stored in parts.
+    pub parts: Listing,
     /// Set to `true` once the claim is lost.
     pub claim_lost: watch::Sender<bool>,
     /// The log.
@@ -233,33 +237,75 @@
             decision_log: Recorder::new(arguments.log.clone()),
             log: arguments.log,
         };
+        let mut parts = state.load_parts(arguments.parts);
         for item in arguments.progress.items {
-            state.load_progress(item);
+            state.load_progress(item, &mut parts);
+        }
+        // An interrupted write of a job's first record leaves no head.
+        for (id, parts) in parts {
+            let progress = Head::default().join(parts);
+            state.unclaimed_progress.insert(id, progress);
         }
         state.apply_listing(arguments.intake);
         state
     }
 
-    fn load_progress(&mut self, item: Item) {
+    /// Decodes the parts of jobs' progress; returns them by job.
+    fn load_parts(&mut self, listing: Listing) -> BTreeMap<String, Vec<Part>> {
+        let mut parts: BTreeMap<String, Vec<Part>> = BTreeMap::new();
+        for item in listing.items {
+            let Some((id, _)) = keys::parse_part(&item.key) else {
+                continue;
+            };
+            let id = id.to_owned();
+            match serde_json::from_slice::<Part>(&item.value) {
+                Ok(part) => parts.entry(id).or_default().push(part),
+                Err(error) => self.mark_unreadable(id, &item.key, &error),
+            }
+            self.records.revisions.insert(item.key, item.modified);
+        }
+        parts
+    }
+
+    /// Decodes the head of a job's progress and joins the job's parts to it.
+    fn load_progress(
+        &mut self,
+        item: Item,
+        parts: &mut BTreeMap<String, Vec<Part>>,
+    ) {
         let Some(id) = item.key.strip_prefix(keys::PROGRESS_PREFIX) else {
             return;
         };
-        match serde_json::from_slice::<Progress>(&item.value) {
-            Ok(progress) => {
-                self.records.revisions.insert(id.into(), item.modified);
-                self.records.begun.insert(id.into());
-                self.unclaimed_progress.insert(id.to_owned(), progress);
-            }
-            Err(error) => {
-                slog::error!(self.log,
-                    "planner: a job's progress cannot be decoded";
-                    "key" => &item.key,
-                    "error" => %error);
-                self.unreadable.insert(id.to_owned());
+        let id = id.to_owned();
+        let parts = parts.remove(&id).unwrap_or_default();
+        match serde_json::from_slice::<Head>(&item.value) {
+            Ok(head) => {
+                let in_parts = head.is_in_parts();
+                let progress = head.join(parts);
+                self.records.begun.insert(id.as_str().into());
+                if in_parts {
+                    let stored = progress.clone();
+                    self.records.in_parts.insert(id.as_str().into(), stored);
+                }
+                self.unclaimed_progress.insert(id, progress);
+                self.records.revisions.insert(item.key, item.modified);
             }
+            Err(error) => self.mark_unreadable(id, &item.key, &error),
         }
     }
 
+    fn mark_unreadable(
+        &mut self,
+        id: String,
+        key: &str,
+        error: &serde_json::Error,
+    ) {
+        slog::error!(self.log,
+            "planner: a job's progress cannot be decoded";
+            "key" => key, "error" => %error);
+        self.unreadable.insert(id);
+    }
+
     fn apply_listing(&mut self, listing: Listing) {
         self.cancelled_early.clear();
         let jobs = listing.items.into_iter().map(Change::Put).collect();
@@ -368,10 +414,16 @@
                 return;
             }
         };
-        for (id, version, revision) in written.jobs {
-            self.records.revisions.insert(id.clone(), revision);
-            self.records.begun.insert(id.clone());
-            self.scheduler.mark_written(&id, version);
+        self.records.update(&written);
+        for job in written.jobs {
+            self.scheduler.mark_written(&job.id, job.version);
+        }
+        for (id, reason) in written.rejected {
+            metrics::get().records_rejected.add(1, &[]);
+            slog::error!(self.log,
+                "planner: the store does not take a job's progress";
+                "job" => &*id, "token" => self.claim.token,
+                "error" => reason);
         }
     }
 
@@ -379,8 +431,7 @@
         self.removing = false;
         for id in ids {
             self.scheduler.forget_job(id);
-            self.records.revisions.remove(id);
-            self.records.begun.remove(id);
+            self.records.forget(id);
         }
     }
 
--- a/src/cell/relay/call.rs
+++ b/src/cell/relay/call.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hyper::StatusCode;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -145,6 +146,8 @@
     Forgotten(Revision),
     /// The store has not carried out the call.
     NotDone,
+    /// The store does not take the call, for the given reason.
+    Rejected(String),
     /// The store has not answered. The call may have been carried out, or may
     /// be later.
     Unsure,
@@ -159,6 +162,7 @@
             Ok(answer) => Reply::Done(answer),
             Err(Error::Forgotten(after)) => Reply::Forgotten(after),
             Err(Error::Unreached(_)) => Reply::NotDone,
+            Err(Error::Rejected(error)) => Reply::Rejected(error.to_string()),
             Err(Error::Lost(_)) => Reply::Unsure,
         }
     }
@@ -187,6 +191,16 @@
     })
 }
 
+/// Returns the error for a call that the store does not take, as another
+/// process has reported it.
+pub(super) fn rejected(by: &str, reason: String) -> Error {
+    Error::Rejected(http::Error::Unexpected {
+        url: by.to_owned(),
+        status: StatusCode::BAD_REQUEST,
+        body: reason,
+    })
+}
+
 /// Returns the error for a call without an answer, or with an answer of the
 /// wrong kind.
 pub(super) fn unanswered(by: &str) -> Error {
--- a/src/cell/relay/mod.rs
+++ b/src/cell/relay/mod.rs
@@ -176,7 +176,7 @@
     /// limit refused only once the direct path counts as unusable.
     fn may_reroute(&self, call: &Call, error: &Error) -> bool {
         match error {
-            Error::Forgotten(_) => false,
+            Error::Forgotten(_) | Error::Rejected(_) => false,
             Error::Lost(_) => call.is_repeatable(),
             Error::Unreached(_) => !self.path.is_usable(),
         }
@@ -185,7 +185,9 @@
     /// Updates the state of the direct path from the outcome of a call.
     fn observe(&self, answer: Result<Answer, Error>) -> Result<Answer, Error> {
         match &answer {
-            Ok(_) | Err(Error::Forgotten(_)) => self.path.on_answer(),
+            Ok(_) | Err(Error::Forgotten(_) | Error::Rejected(_)) => {
+                self.path.on_answer();
+            }
             Err(error) if error.is_throttled() => {
                 if self.path.on_throttled() {
                     self.mark_unusable("turned away again");
--- a/src/cell/relay/peers.rs
+++ b/src/cell/relay/peers.rs
@@ -15,6 +15,7 @@
 use crate::cell::connector::Recipient;
 use crate::cell::keys;
 use crate::cell::pause;
+use crate::cell::relay::call::rejected;
 use crate::cell::relay::call::unanswered;
 use crate::cell::relay::call::Answer;
 use crate::cell::relay::call::Call;
@@ -188,6 +189,7 @@
                 Ok(Reply::Done(_)) => "done",
                 Ok(Reply::Forgotten(_)) => "forgotten",
                 Ok(Reply::NotDone) => "not done",
+                Ok(Reply::Rejected(_)) => "rejected",
                 Ok(Reply::Unsure) => "unsure",
                 Ok(Reply::Away) => "away",
                 Err(Failure::NotAsked) => "not reached",
@@ -201,6 +203,9 @@
             let answer = match reply {
                 Ok(Reply::Done(answer)) => Ok(answer),
                 Ok(Reply::Forgotten(after)) => Err(Error::Forgotten(after)),
+                Ok(Reply::Rejected(reason)) => {
+                    Err(rejected(&entry.address, reason))
+                }
                 Ok(Reply::Unsure) | Err(Failure::NoAnswer)
                     if !call.is_repeatable() =>
                 {
--- a/src/cell/session.rs
+++ b/src/cell/session.rs
@@ -248,7 +248,7 @@
         mut stop: watch::Receiver<bool>,
     ) -> Result<(), Error> {
         let claimed = Instant::now();
-        let (progress, intake) = tokio::select! {
+        let (progress, parts, intake) = tokio::select! {
             biased;
             read = self.read_records(claim) => read?,
             () = self.renew(claim) => return Ok(()),
@@ -264,6 +264,7 @@
             options: self.options,
             intake,
             progress,
+            parts,
             claim_lost,
             log: self.log.clone(),
         };
@@ -296,15 +297,16 @@
     async fn read_records(
         &self,
         claim: &Claim,
-    ) -> Result<(Listing, Listing), Error> {
+    ) -> Result<(Listing, Listing, Listing), Error> {
         loop {
             // Accepted jobs are read last, because the watch continues from
             // their revision.
             let progress = self.list(keys::PROGRESS_PREFIX).await;
+            let parts = self.list(keys::PART_PREFIX).await;
             let intake = self.list(keys::INTAKE_PREFIX).await;
-            match (progress, intake) {
-                (Some(progress), Some(intake)) => {
-                    return Ok((progress, intake));
+            match (progress, parts, intake) {
+                (Some(progress), Some(parts), Some(intake)) => {
+                    return Ok((progress, parts, intake));
                 }
                 _ if !claim.holds() => return Ok(Default::default()),
                 _ => pause(RETRY_DELAY).await,
--- a/src/cell/writer.rs
+++ b/src/cell/writer.rs
@@ -8,7 +8,10 @@
 use crate::cell::claim::Claim;
 use crate::cell::keys;
 use crate::cell::pause;
+use crate::cell::record;
+use crate::cell::record::Encoded;
 use crate::graph::JobId;
+use crate::graph::Progress;
 use crate::graph::ProgressUpdate;
 use crate::http::transfer_time;
 use crate::store::Compare;
@@ -19,45 +22,187 @@
 use crate::store::Store;
 use crate::store::Swap;
 
-/// The jobs written in one transaction. Each needs a condition, a put and a
-/// removal; with the claim's condition that makes at most the platform's limit
-/// of 32 entries.
+/// The jobs written at a time.
 pub const MAX_BATCH_JOBS: usize = 10;
+/// The most conditions and mutations in one transaction, which is the
+/// platform's limit.
+const MAX_ENTRIES: usize = 32;
+/// The most bytes of values in one transaction, unless it writes a single one.
+const MAX_TRANSACTION_BYTES: usize = 512 * 1024;
 /// The longest wait for an answer, beyond the transfer time of the bytes.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
-/// The delay before a batch is retried.
+/// The delay before a transaction is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
 /// The state of the jobs' records in the store.
 #[derive(Clone, Debug, Default)]
 pub struct Records {
-    /// The revision of each job's progress.
-    pub revisions: BTreeMap<JobId, Revision>,
+    /// The revision of each key.
+    pub revisions: BTreeMap<String, Revision>,
     /// The jobs that no longer count as waiting.
     pub begun: BTreeSet<JobId>,
+    /// The stored progress of the jobs that are stored in parts.
+    pub in_parts: BTreeMap<JobId, Progress>,
 }
 
 impl Records {
-    /// Returns the state of the records of a batch's jobs.
-    pub fn subset(&self, batch: &[ProgressUpdate]) -> Records {
-        let ids = || batch.iter().map(|job| &job.id);
-        Records {
-            revisions: ids()
-                .filter_map(|id| Some((id.clone(), *self.revisions.get(id)?)))
-                .collect(),
-            begun: ids()
-                .filter(|id| self.begun.contains(*id))
-                .cloned()
-                .collect(),
+    /// Returns the keys of the parts of a job.
+    pub fn part_keys(&self, id: &str) -> Vec<String> {
+        let prefix = keys::part_prefix(id);
+        let keys = self.revisions.range(prefix.clone()..);
+        keys.map(|(key, _)| key.clone())
+            .take_while(|key| key.starts_with(&prefix))
+            .collect()
+    }
+
+    /// Forgets a job whose records were removed.
+    pub fn forget(&mut self, id: &JobId) {
+        for key in self.part_keys(id) {
+            self.revisions.remove(&key);
+        }
+        self.revisions.remove(&keys::progress(id));
+        self.begun.remove(id);
+        self.in_parts.remove(id);
+    }
+
+    /// Records what was written.
+    pub fn update(&mut self, written: &Written) {
+        self.revisions.extend(written.revisions.iter().cloned());
+        for (key, _) in &written.revisions {
+            if let Some(id) = key.strip_prefix(keys::PROGRESS_PREFIX) {
+                self.begun.insert(id.into());
+            }
+        }
+        for job in &written.jobs {
+            if !self.part_keys(&job.id).is_empty() {
+                self.in_parts.insert(job.id.clone(), job.progress.clone());
+            }
         }
     }
+
+    fn revision(&self, key: &str) -> Revision {
+        self.revisions.get(key).copied().unwrap_or(0)
+    }
+}
+
+/// Mutations that must be carried out together, and their conditions.
+#[derive(Clone, Debug, Default)]
+struct Group {
+    /// The index of the job in its batch.
+    job: usize,
+    conditions: Vec<Compare>,
+    mutations: Vec<Mutation>,
+}
+
+impl Group {
+    fn put(&mut self, key: String, value: Vec<u8>, records: &Records) {
+        let before = records.revision(&key);
+        self.conditions.push(Compare::Modified(key.clone(), before));
+        self.mutations.push(Mutation::Value(key, value, 0));
+    }
+
+    fn entries(&self) -> usize {
+        self.conditions.len() + self.mutations.len()
+    }
+
+    fn bytes(&self) -> usize {
+        self.mutations.iter().map(Mutation::payload_bytes).sum()
+    }
 }
 
-/// A batch that was written.
+/// Jobs' progress to write, as transactions in their order.
 #[derive(Clone, Debug)]
+pub struct Batch {
+    jobs: Vec<ProgressUpdate>,
+    transactions: Vec<Vec<Group>>,
+}
+
+impl Batch {
+    /// Returns the transactions that bring the records of `jobs` up to date.
+    ///
+    /// # Errors
+    ///
+    /// If a job's progress cannot be encoded.
+    pub fn new(
+        jobs: Vec<ProgressUpdate>,
+        records: &Records,
+    ) -> Result<Batch, serde_json::Error> {
+        let mut transactions: Vec<Vec<Group>> = Vec::new();
+        let (mut entries, mut bytes) = (0, 0);
+        for (number, job) in jobs.iter().enumerate() {
+            for group in groups(number, job, records)? {
+                let (more, more_bytes) = (group.entries(), group.bytes());
+                // One entry is the claim's condition.
+                let fits = entries + more < MAX_ENTRIES
+                    && bytes + more_bytes <= MAX_TRANSACTION_BYTES;
+                match transactions.last_mut() {
+                    Some(transaction) if fits => transaction.push(group),
+                    _ => {
+                        transactions.push(vec![group]);
+                        (entries, bytes) = (0, 0);
+                    }
+                }
+                entries += more;
+                bytes += more_bytes;
+            }
+        }
+        Ok(Batch { jobs, transactions })
+    }
+}
+
+/// Returns the groups that write a job's progress, in their order.
+fn groups(
+    job: usize,
+    update: &ProgressUpdate,
+    records: &Records,
+) -> Result<Vec<Group>, serde_json::Error> {
+    let stored = records.in_parts.get(&update.id);
+    // Parts that were written without the head do not count as stored, but a
+    // head with all units would be overruled by them.
+    let nothing = Progress::default();
+    let has_parts = !records.part_keys(&update.id).is_empty();
+    let baseline = stored.or(has_parts.then_some(&nothing));
+    let encoded = record::encode(&update.progress, baseline)?;
+    let (head, parts) = match encoded {
+        Encoded::Whole(head) => (head, BTreeMap::new()),
+        Encoded::InParts(head, parts) => (head, parts),
+    };
+    let group = || Group {
+        job,
+        ..Group::default()
+    };
+    let mut first = group();
+    let key = keys::progress(&update.id);
+    let head_is_whole = stored.is_none() && records.revision(&key) != 0;
+    first.put(key, head, records);
+    if !records.begun.contains(&update.id) {
+        let waiting = keys::waiting_job(&update.queue, &update.id);
+        first.mutations.push(Mutation::Delete(waiting));
+    }
+    let mut groups = vec![first];
+    for (id, value) in parts {
+        let mut part = group();
+        part.put(keys::part(&update.id, id), value, records);
+        groups.push(part);
+    }
+    // The head shows a job's end, which must not depend on later writes. But a
+    // head that still holds all units is replaced only once the parts do.
+    if head_is_whole {
+        groups.rotate_left(1);
+    }
+    Ok(groups)
+}
+
+/// What was written of a batch.
+#[derive(Clone, Debug, Default)]
 pub struct Written {
-    /// The jobs, with the version and revision of each.
-    pub jobs: Vec<(JobId, u64, Revision)>,
+    /// The jobs that are written, each with its version.
+    pub jobs: Vec<ProgressUpdate>,
+    /// The keys that were written, and their revisions.
+    pub revisions: Vec<(String, Revision)>,
+    /// The jobs with a record that the store does not take, and the store's
+    /// reason.
+    pub rejected: Vec<(JobId, String)>,
 }
 
 /// The claim is lost, or another process has written.
@@ -65,7 +210,15 @@
 #[error("the claim is lost: {0}")]
 pub struct Lost(String);
 
-/// Writes a batch, retrying until it is written or the claim is lost.
+/// What cannot be encoded cannot be written by any further try.
+impl From<serde_json::Error> for Lost {
+    fn from(error: serde_json::Error) -> Lost {
+        Lost(error.to_string())
+    }
+}
+
+/// Writes a batch, retrying until it is written or the claim is lost. A job
+/// with a record that the store does not take holds up no other job.
 ///
 /// Every put is conditioned on the previous revision. A write whose answer was
 /// lost therefore either shows as the current value, or can no longer take
@@ -77,34 +230,83 @@
 pub async fn write(
     store: &impl Store,
     claim: &Claim,
-    records: &Records,
-    batch: &[ProgressUpdate],
+    batch: Batch,
 ) -> Result<Written, Lost> {
-    let mut conditions = vec![claim.condition()];
-    let mut puts = Vec::new();
-    for job in batch {
-        let key = keys::progress(&job.id);
-        let before = records.revisions.get(&job.id).copied().unwrap_or(0);
-        conditions.push(Compare::Modified(key.clone(), before));
-        let value = serde_json::to_vec(&job.progress)
-            .map_err(|error| Lost(error.to_string()))?;
-        puts.push(Mutation::Value(key, value, 0));
-        if !records.begun.contains(&job.id) {
-            puts.push(Mutation::Delete(keys::waiting_job(
-                &job.queue, &job.id,
-            )));
+    let mut revisions = Vec::new();
+    let mut rejected = BTreeMap::new();
+    for mut groups in batch.transactions {
+        groups.retain(|group| !rejected.contains_key(&group.job));
+        match write_groups(store, claim, &groups).await? {
+            Answer::Written(written) => revisions.extend(written),
+            Answer::Rejected(_) if groups.len() > 1 => {
+                for group in groups {
+                    if rejected.contains_key(&group.job) {
+                        continue;
+                    }
+                    let job = group.job;
+                    match write_groups(store, claim, &[group]).await? {
+                        Answer::Written(written) => revisions.extend(written),
+                        Answer::Rejected(reason) => {
+                            rejected.insert(job, reason);
+                        }
+                    }
+                }
+            }
+            Answer::Rejected(reason) => {
+                let jobs = groups.iter().map(|g| (g.job, reason.clone()));
+                rejected.extend(jobs);
+            }
         }
     }
+    let mut written = Written {
+        revisions,
+        ..Written::default()
+    };
+    for (number, job) in batch.jobs.into_iter().enumerate() {
+        match rejected.remove(&number) {
+            Some(reason) => written.rejected.push((job.id, reason)),
+            None => written.jobs.push(job),
+        }
+    }
+    Ok(written)
+}
+
+/// The store's answer to a transaction.
+enum Answer {
+    /// The keys that were written, and their revisions.
+    Written(Vec<(String, Revision)>),
+    /// The store does not take the transaction, however often it is repeated.
+    Rejected(String),
+}
+
+/// Writes groups in one transaction, retrying until the store has answered.
+async fn write_groups(
+    store: &impl Store,
+    claim: &Claim,
+    groups: &[Group],
+) -> Result<Answer, Lost> {
+    if groups.is_empty() {
+        return Ok(Answer::Written(Vec::new()));
+    }
+    let mut conditions = vec![claim.condition()];
+    conditions.extend(groups.iter().flat_map(|g| g.conditions.clone()));
+    let puts = groups.iter().flat_map(|g| g.mutations.clone());
+    let puts: Vec<Mutation> = puts.collect();
     let limit = ANSWER_TIMEOUT
         + transfer_time(puts.iter().map(Mutation::payload_bytes).sum());
     loop {
         let swap = store.swap(&conditions, puts.clone());
         match tokio::time::timeout(limit, swap).await {
             Ok(Ok(Swap::Written(revision))) => {
-                return Ok(written_jobs(batch, |_| Some(revision)));
+                let keys = puts.iter().filter_map(put_key);
+                let keys = keys.map(|key| (key.to_owned(), revision));
+                return Ok(Answer::Written(keys.collect()));
             }
             Ok(Ok(Swap::Refused(items))) => {
-                return resolve_refusal(batch, &puts, &items);
+                return resolve_refusal(&puts, &items).map(Answer::Written);
+            }
+            Ok(Err(Error::Rejected(error))) => {
+                return Ok(Answer::Rejected(error.to_string()));
             }
             Ok(Err(Error::Unreached(_) | Error::Lost(_)))
             | Ok(Err(Error::Forgotten(_)))
@@ -117,38 +319,30 @@
     }
 }
 
-/// Returns the jobs of a batch that have a revision, as written.
-fn written_jobs(
-    batch: &[ProgressUpdate],
-    revision: impl Fn(&JobId) -> Option<Revision>,
-) -> Written {
-    let jobs = batch.iter().filter_map(|job| {
-        Some((job.id.clone(), job.version, revision(&job.id)?))
-    });
-    Written {
-        jobs: jobs.collect(),
+/// Returns the key of a put.
+fn put_key(mutation: &Mutation) -> Option<&str> {
+    match mutation {
+        Mutation::Value(key, _, _) => Some(key),
+        Mutation::Delete(_) => None,
     }
 }
 
 /// Distinguishes an earlier try of this writer that took effect from a write
-/// of another process.
+/// of another process. Returns the revisions of the former.
 fn resolve_refusal(
-    batch: &[ProgressUpdate],
     puts: &[Mutation],
     items: &[Item],
-) -> Result<Written, Lost> {
-    let ours = puts.iter().all(|put| match put {
-        Mutation::Value(key, value, _) => items
-            .iter()
-            .any(|item| item.key == *key && item.value == *value),
-        Mutation::Delete(_) => true,
-    });
-    if !ours {
-        return Err(Lost("another has written".to_owned()));
-    }
-    let revision = |id: &JobId| {
-        let key = keys::progress(id);
-        items.iter().find(|i| i.key == key).map(|i| i.modified)
-    };
-    Ok(written_jobs(batch, revision))
+) -> Result<Vec<(String, Revision)>, Lost> {
+    let mut written = Vec::new();
+    for put in puts {
+        let Mutation::Value(key, value, _) = put else {
+            continue;
+        };
+        let item = items.iter().find(|item| item.key == *key);
+        match item.filter(|item| item.value == *value) {
+            Some(item) => written.push((key.clone(), item.modified)),
+            None => return Err(Lost("another has written".to_owned())),
+        }
+    }
+    Ok(written)
 }
--- a/src/entry/claim.rs
+++ b/src/entry/claim.rs
@@ -124,7 +124,9 @@
         Ok(Swap::Written(revision)) => Ok(Some(revision)),
         Ok(Swap::Refused(_)) => Ok(None),
         Err(
-            error @ (store::Error::Unreached(_) | store::Error::Forgotten(_)),
+            error @ (store::Error::Unreached(_)
+            | store::Error::Rejected(_)
+            | store::Error::Forgotten(_)),
         ) => Err(error),
         Err(store::Error::Lost(_)) => {
             // The write may have succeeded without its answer: read the
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -20,6 +20,7 @@
 use crate::graph::Decision;
 use crate::graph::Ended;
 use crate::graph::Job;
+use crate::graph::JobId;
 use crate::graph::Life;
 use crate::graph::Outcome;
 use crate::graph::PastLife;
@@ -98,6 +99,9 @@
             self.agents_to_order.insert(place.agent);
         }
         self.open_jobs.insert(id.clone());
+        if !over {
+            self.settle_adopted(&id, now);
+        }
         if over {
             let keys: Vec<UnitKey> =
                 self.jobs[&id].units.keys().copied().collect();
@@ -107,6 +111,27 @@
         }
     }
 
+    /// Ends an adopted job whose units have settled its outcome. The earlier
+    /// planner may have written the units and not the outcome.
+    fn settle_adopted(&mut self, id: &JobId, now: Timestamp) {
+        let Some(record) = self.jobs.get(id) else {
+            return;
+        };
+        let units = &record.progress.units;
+        let failed = units.iter().any(|(key, unit)| {
+            let step = record.job.steps.get(key.step);
+            step.is_some_and(|step| !step.lasting)
+                && !unit.done
+                && unit.on.is_empty()
+                && unit.failed >= record.job.max_attempts
+        });
+        match failed {
+            true => self.end_job(id, Outcome::Failed, now),
+            false if !units.is_empty() => self.succeed_if_done(id, now),
+            false => {}
+        }
+    }
+
     /// Cancels a job at its caller's request.
     pub fn cancel_job(&mut self, id: &str, now: Timestamp) {
         let Some(record) = self.jobs.get_mut(id) else {
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -33,6 +33,10 @@
     /// can determine whether it did.
     #[error("the response of the store was lost: {0}")]
     Lost(http::Error),
+    /// The store does not take the call, and will not if it is repeated: a
+    /// value is too large, for instance. The call had no effect.
+    #[error("the store does not take the call: {0}")]
+    Rejected(http::Error),
     /// The store no longer holds the changes that were asked for, or leaves a
     /// watch of them unanswered while it answers reads. The keys have to be
     /// listed again.
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -22,8 +22,9 @@
 
 /// A key-value store. Each platform's client implements this trait.
 ///
-/// An [`Error::Unreached`] means that the call had no effect. After any other
-/// error the call may have taken effect, or may still do so.
+/// An [`Error::Unreached`] or [`Error::Rejected`] means that the call had no
+/// effect. After any other error the call may have taken effect, or may still
+/// do so.
 ///
 /// Implementations end a call once the store has sent nothing for some time,
 /// but not while a response is arriving. A caller must not put a total limit
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -61,6 +61,10 @@
         "landingvalve_store_seconds",
         "Time of a call of the platform's store, by call, subject, outcome.",
     ),
+    describe(
+        "landingvalve_records_rejected",
+        "Jobs with a record that the store does not take.",
+    ),
     describe("landingvalve_decisions", "Decisions of a planner, by kind."),
     describe(
         "landingvalve_wait_seconds",
@@ -205,6 +209,8 @@
     pub relayed: Counter<u64>,
     /// Unusable input from outside.
     pub strange: Counter<u64>,
+    /// Jobs with a record that the store does not take.
+    pub records_rejected: Counter<u64>,
     /// Time for which workers were kept for urgent work, in worker-seconds.
     pub headroom_worker_seconds: Counter<f64>,
     /// Units that waited because of workers left to urgent work.
@@ -272,6 +278,7 @@
             limited: counter("landingvalve_limited"),
             relayed: counter("landingvalve_relayed"),
             strange: counter("landingvalve_strange"),
+            records_rejected: counter("landingvalve_records_rejected"),
             headroom_worker_seconds: meter
                 .f64_counter("landingvalve_headroom_worker_seconds")
                 .build(),
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
+use hyper::StatusCode;
 use landingvalve::cell::claim::Holder;
 use landingvalve::cell::configuration::Keys;
 use landingvalve::cell::configuration::Source;
@@ -63,6 +64,9 @@
 
 use crate::support::until;
 
+/// The most conditions and mutations that a transaction may have.
+const MAX_ENTRIES: usize = 32;
+
 /// The contents of a [`Memory`] store, and the faults that it simulates.
 #[derive(Default)]
 struct Data {
@@ -72,6 +76,10 @@
     log: Vec<Change>,
     /// The number of next writes that take effect without an answer.
     answers_to_lose: u32,
+    /// The size of the largest value that the store takes, in bytes.
+    max_value_bytes: Option<usize>,
+    /// The size of the largest value that a write has held, in bytes.
+    largest_value: usize,
     /// The number of next writes that are not answered and are carried out
     /// later.
     writes_to_hold: u32,
@@ -97,6 +105,16 @@
         self.lock().answers_to_lose = answers;
     }
 
+    /// Sets the size of the largest value that the store takes, in bytes.
+    pub fn limit_values(&self, bytes: usize) {
+        self.lock().max_value_bytes = Some(bytes);
+    }
+
+    /// Returns the size of the largest value that a write has held, in bytes.
+    pub fn largest_value(&self) -> usize {
+        self.lock().largest_value
+    }
+
     /// Leaves the next writes unanswered until [`Memory::do_held_writes`].
     pub fn hold_writes(&self, writes: u32) {
         self.lock().writes_to_hold = writes;
@@ -256,6 +274,20 @@
     ) -> Result<Swap, Error> {
         self.lock().writes += 1;
         let mut data = self.begin_call()?;
+        let largest = mutations
+            .iter()
+            .map(Mutation::payload_bytes)
+            .max()
+            .unwrap_or(0);
+        data.largest_value = data.largest_value.max(largest);
+        if data.max_value_bytes.is_some_and(|limit| largest > limit) {
+            return Err(Error::Rejected(http::Error::Unexpected {
+                url: "memory".to_owned(),
+                status: StatusCode::BAD_REQUEST,
+                body: format!("a value of {largest} bytes"),
+            }));
+        }
+        assert!(conditions.len() + mutations.len() <= MAX_ENTRIES);
         if data.writes_to_hold > 0 {
             data.writes_to_hold -= 1;
             data.held_writes.push((conditions.to_vec(), mutations));
