Repetitions that are open are counted, not those that ever were

Cause: graph::schedule compared all repetitions ever opened with MAX_OPEN_REPETITIONS.

Change: a job remembers which of its opened repetitions are not done, and the first one not opened yet. A pass looks at these instead of all repetitions.

Evidence: repetitions, four tests, fail on the code before (65 of 150 seen), among them a takeover, an outage longer than the interval with a dependent step, and a repetition that hangs.

--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -69,6 +69,8 @@
             cancelled: false,
             units: Default::default(),
             opened_steps: Default::default(),
+            open_times: Default::default(),
+            next_time: 0,
             run_times: Default::default(),
             own_failures: Default::default(),
             cleared: false,
--- a/src/graph/job_record.rs
+++ b/src/graph/job_record.rs
@@ -30,6 +30,10 @@
     pub units: BTreeMap<UnitKey, Unit>,
     /// The steps whose units are open, by repetition and step.
     pub opened_steps: BTreeSet<(u32, usize)>,
+    /// The opened repetitions that were not all done in the last pass.
+    pub open_times: BTreeSet<u32>,
+    /// The first repetition that was not opened yet.
+    pub next_time: u32,
     /// How long uninterrupted runs of each step took.
     pub run_times: BTreeMap<usize, RunTimes>,
     /// The failed runs that count as the job's own fault, as far as this
@@ -69,11 +73,14 @@
         }
     }
 
+    /// Returns whether every task of a repetition is done.
+    pub fn is_time_done(&self, time: u32) -> bool {
+        (0..self.job.steps.len()).all(|step| self.is_step_done(time, step))
+    }
+
     /// Returns whether every task of the job is done.
     pub fn is_all_done(&self) -> bool {
-        (0..self.job.times()).all(|time| {
-            (0..self.job.steps.len()).all(|step| self.is_step_done(time, step))
-        })
+        (0..self.job.times()).all(|time| self.is_time_done(time))
     }
 
     /// Returns whether the job fails if the unit fails once more.
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -33,7 +33,7 @@
 /// places where it runs more slowly, while most of the pool is idle.
 pub(super) const MAX_WAIT_WHEN_IDLE: Duration = Duration::from_millis(2000);
 /// The most repetitions of a job that are open at once.
-const MAX_OPEN_REPETITIONS: u32 = 64;
+const MAX_OPEN_REPETITIONS: usize = 64;
 
 /// A waiting unit with its rank.
 pub(super) struct WaitingUnit {
@@ -94,12 +94,7 @@
             if record.is_over() {
                 continue;
             }
-            for time in 0..record.job.times() {
-                if record.job.due(time) > now.wall {
-                    break;
-                }
-                open_repetition(record, time, now.monotonic);
-            }
+            open_due_repetitions(record, now);
         }
     }
 
@@ -568,12 +563,30 @@
 }
 
 /// Opens the steps of one repetition whose dependencies are done.
-fn open_repetition(record: &mut JobRecord, time: u32, now: Instant) {
-    if record.opened_steps.len() as u32
-        > MAX_OPEN_REPETITIONS * record.job.steps.len() as u32
+fn open_due_repetitions(record: &mut JobRecord, now: Timestamp) {
+    let opened = std::mem::take(&mut record.open_times);
+    for time in opened {
+        if !record.is_time_done(time) {
+            open_steps(record, time, now.monotonic);
+            record.open_times.insert(time);
+        }
+    }
+    while record.open_times.len() < MAX_OPEN_REPETITIONS
+        && record.next_time < record.job.times()
+        && record.job.due(record.next_time) <= now.wall
     {
-        return;
+        let time = record.next_time;
+        record.next_time += 1;
+        // After a takeover these are opened again from the first one on.
+        if !record.is_time_done(time) {
+            open_steps(record, time, now.monotonic);
+            record.open_times.insert(time);
+        }
     }
+}
+
+/// Opens the units of a repetition whose steps' dependencies are done.
+fn open_steps(record: &mut JobRecord, time: u32, now: Instant) {
     for step in 0..record.job.steps.len() {
         if record.opened_steps.contains(&(time, step)) {
             continue;
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -41,6 +41,7 @@
 mod reach;
 mod records;
 mod relay;
+mod repetitions;
 mod replay;
 mod reserve;
 mod session;
