--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -24,6 +24,7 @@
 mod holder;
 mod in_touch;
 mod limits;
+mod memory;
 mod misdirected;
 mod near;
 mod objective;
