A cancellation that has ended before the job came does not count

Cause: the planner noted cancellations of unknown jobs after it had read a whole batch, so that one which was removed in the same batch stayed noted, and a job submitted later under the name was cancelled.

--- a/src/cell/planner/mod.rs
+++ b/src/cell/planner/mod.rs
@@ -319,7 +319,10 @@
             let item = match change {
                 Change::Put(item) => item,
                 Change::Deleted(key, _) => {
-                    self.forget_cancellation(&key);
+                    if let Some(Intake::Cancel(id)) = keys::intake(&key) {
+                        cancelled.retain(|other| other != id);
+                        self.cancelled_early.remove(id);
+                    }
                     continue;
                 }
             };
@@ -347,13 +350,6 @@
         }
     }
 
-    /// Forgets the cancellation that a removed key held.
-    fn forget_cancellation(&mut self, key: &str) {
-        if let Some(Intake::Cancel(id)) = keys::intake(key) {
-            self.cancelled_early.remove(id);
-        }
-    }
-
     fn accept(&mut self, id: &str, value: &[u8], now: Timestamp) {
         match serde_json::from_slice::<Job>(value) {
             Ok(job) => {
--- a/tests/it/cancels.rs
+++ b/tests/it/cancels.rs
@@ -141,6 +141,28 @@
     assert_eq!(submitted, Submitted::Accepted);
 }
 
+/// Guards against a job that is cancelled by a cancellation which had ended
+/// before the job was submitted: the planner has read both in one answer.
+#[tokio::test]
+async fn a_cancellation_that_has_ended_does_not_count() {
+    let store = Memory::default();
+    let worker = FakeWorker::new();
+    let entry = Entry::start("entry", &store).await;
+    let agent = start_agent(&store, &worker);
+    let admission = admission(&store);
+    admission.submit(&job("b"), deadline()).await;
+    wait_for_running(&worker, 2).await;
+    let cancel = keys::cancel("a");
+    let put = Mutation::Value(cancel.clone(), b"{}".to_vec(), 0);
+    let both = vec![put, Mutation::Delete(cancel)];
+    store.swap(&[], both).await.expect("is written");
+    let submitted = admission.submit(&job("a"), deadline()).await;
+    assert_eq!(submitted, Submitted::Accepted);
+    wait_for_running(&worker, 4).await;
+    agent.abort();
+    entry.kill();
+}
+
 /// Guards against a cancellation that stays in the store for ever: it was
 /// carried out after the records of its job had been removed.
 #[tokio::test]
