Log and count ends that are read late, and runs that are given up unread

Cause: three explanations of a run beyond the allowed attempts could not be told apart. An end without a member left no line and no metric, 'worker silent' named both a run whose leases had lapsed and a broken gang that was given up, and no line told how many failures a unit had at a start.

Change: Decision::LateEnd (task, run, worker, how, latest run, failures known before), 'ended unread' for members given up with their broken gang, and 'failed' in 'a unit is placed'. The handling of ends moves to late_end.rs. No decision changes.

--- a/src/cell/decision_log.rs
+++ b/src/cell/decision_log.rs
@@ -17,6 +17,7 @@
 use crate::graph::SharedStr;
 use crate::graph::ShortageKind;
 use crate::graph::Subject;
+use crate::graph::Task;
 use crate::graph::WaitReason;
 use crate::store::Revision;
 use crate::telemetry::metrics;
@@ -197,6 +198,7 @@
                 .record(ran.as_secs_f64(), &[label("how", end)]);
             "run ended"
         }
+        Decision::LateEnd { .. } => "end read late",
         Decision::LossCounted { .. } => "worker lost under a task",
         Decision::JobEnded {
             outcome,
@@ -324,6 +326,7 @@
             subject,
             run,
             lives,
+            failed,
             waited,
             slack_ms,
             expected,
@@ -331,8 +334,8 @@
             share,
         } => slog::info!(log,
             "planner: a unit is placed"; subject, "run" => run,
-            "workers" => names(lives), "waited_ms" => millis(waited),
-            "slack_ms" => slack_ms, "expected_ms" => millis(expected),
+            "workers" => names(lives), "failed" => failed,
+            "waited_ms" => millis(waited), "slack_ms" => slack_ms, "expected_ms" => millis(expected),
             Guarantee(*guarantee), "share" => share.map(rounded),
             "token" => token),
         Decision::Stopped {
@@ -353,6 +356,18 @@
             "planner: a run has ended"; subject, "run" => run,
             "member" => member, "worker" => &**life, "how" => end,
             "ran_ms" => millis(ran), "token" => token),
+        Decision::LateEnd {
+            task,
+            run,
+            life,
+            end,
+            latest_run,
+            failed,
+        } => slog::info!(log,
+            "planner: the end of a run is read late"; "job" => &*task.job,
+            "unit" => task_in_job(task), "run" => run, "worker" => &**life,
+            "how" => end, "latest_run" => latest_run, "failed" => failed,
+            "token" => token),
         Decision::LossCounted {
             subject,
             run,
@@ -433,6 +448,11 @@
     (!names.is_empty()).then(|| names.join("; "))
 }
 
+/// Returns a task's name without its job.
+fn task_in_job(task: &Task) -> String {
+    format!("{}.{}.{}", task.time, task.step, task.index)
+}
+
 fn waits_on(reason: WaitReason) -> &'static str {
     match reason {
         WaitReason::Worker => "a worker",
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -69,7 +69,10 @@
     match (how, why) {
         (_, Some("room for urgent work")) => Cause::Displaced,
         (_, Some("stuck")) => Cause::Stuck,
-        ("worker gone" | "worker silent" | "lease ran out", _) => Cause::Gone,
+        (
+            "worker gone" | "worker silent" | "ended unread" | "lease ran out",
+            _,
+        ) => Cause::Gone,
         ("failed", _) => Cause::Failed,
         _ => Cause::Broken,
     }
--- a/src/graph/decision.rs
+++ b/src/graph/decision.rs
@@ -13,6 +13,7 @@
 use crate::graph::Run;
 use crate::graph::SharedStr;
 use crate::graph::Shortage;
+use crate::graph::Task;
 use crate::graph::UnitKey;
 
 /// The identification of a unit in the log.
@@ -164,6 +165,8 @@
         run: Run,
         /// The workers of its members.
         lives: Vec<Life>,
+        /// The failed runs of the unit.
+        failed: u32,
         /// How long the unit has been ready.
         waited: Duration,
         /// The time left until the unit's latest start, in ms; below 0 once
@@ -201,6 +204,23 @@
         /// The time since the run was assigned.
         ran: Duration,
     },
+    /// The end of a run was read that the scheduler does not hold: the run was
+    /// given up, an earlier planner ended it, or its job is not known.
+    LateEnd {
+        /// The task that ended.
+        task: Task,
+        /// The number of its run.
+        run: Run,
+        /// The worker that lists the end.
+        life: Life,
+        /// The kind of end, as the log names it.
+        end: &'static str,
+        /// The number of the unit's last run, if the unit is known.
+        latest_run: Option<Run>,
+        /// The failed runs of the unit before this end was read, if the unit is
+        /// known.
+        failed: Option<u32>,
+    },
     /// A worker was lost without a report while it ran a task.
     LossCounted {
         /// The task's unit.
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -23,14 +23,12 @@
 use crate::graph::JobId;
 use crate::graph::Life;
 use crate::graph::Outcome;
-use crate::graph::PastLife;
 use crate::graph::Place;
 use crate::graph::Progress;
 use crate::graph::Refused;
 use crate::graph::Report;
 use crate::graph::Resources;
 use crate::graph::Run;
-use crate::graph::RunOutcome;
 use crate::graph::Running;
 use crate::graph::Scheduler;
 use crate::graph::Task;
@@ -425,41 +423,6 @@
         self.agents_to_order.insert(place.agent.clone());
     }
 
-    /// Applies the ends that a past life has listed. They may be reported
-    /// again, and are never acknowledged.
-    fn apply_past_ends(
-        &mut self,
-        agent: &AgentId,
-        past: &PastLife,
-        now: Timestamp,
-    ) {
-        let place = Place {
-            agent: agent.clone(),
-            life: past.life.clone(),
-        };
-        for ended in &past.ended {
-            self.apply_listed_end(&place, ended, now);
-        }
-    }
-
-    fn apply_listed_end(
-        &mut self,
-        place: &Place,
-        ended: &Ended,
-        now: Timestamp,
-    ) {
-        let task = &ended.task;
-        if let Some((key, position)) = self.find_member(task, ended.run, place)
-        {
-            self.changed = true;
-            self.store_checkpoint(&task.job, &key, &ended.saved);
-            let end = MemberEnd::Listed(ended.how);
-            self.end_member(&task.job, &key, position, end, now);
-        } else if ended.how == RunOutcome::Done {
-            self.mark_task_done(task, now);
-        }
-    }
-
     /// Stores a checkpoint that is reported with an end: once the end is
     /// acknowledged, the worker no longer has it.
     pub(super) fn store_checkpoint(
@@ -515,11 +478,7 @@
     ) -> Option<(UnitKey, usize)> {
         let record = self.jobs.get(&task.job)?;
         let step = record.job.steps.get(task.step)?;
-        let key = UnitKey {
-            time: task.time,
-            step: task.step,
-            index: (!step.gang).then_some(task.index),
-        };
+        let key = task.unit(step.gang);
         let progress = record.progress.units.get(&key)?;
         let Phase::Running(members) = &record.units.get(&key)?.phase else {
             return None;
--- a/src/graph/job.rs
+++ b/src/graph/job.rs
@@ -8,6 +8,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::graph::UnitKey;
+
 /// The name of a job, unique on the site.
 pub type JobId = Arc<str>;
 /// A string that many values share.
@@ -348,6 +350,18 @@
     pub index: u32,
 }
 
+impl Task {
+    /// Returns the unit that the task belongs to: its whole gang if its step
+    /// is one, otherwise the task alone.
+    pub(super) fn unit(&self, gang: bool) -> UnitKey {
+        UnitKey {
+            time: self.time,
+            step: self.step,
+            index: (!gang).then_some(self.index),
+        }
+    }
+}
+
 impl fmt::Display for Task {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}.{}.{}", self.job, self.time, self.step, self.index)
--- /dev/null
+++ b/src/graph/late_end.rs
@@ -0,0 +1,141 @@
+//! Ends of runs, and what is done with those that come late.
+//!
+//! The end of a run may be read after the run was given up, or by another
+//! planner than the one that had assigned it. Whatever it says of the task is
+//! still true, and once it is acknowledged nobody reads it again.
+
+use crate::graph::settle::MemberEnd;
+use crate::graph::unit::Phase;
+use crate::graph::unit::StopReason;
+use crate::graph::AgentId;
+use crate::graph::Decision;
+use crate::graph::Ended;
+use crate::graph::PastLife;
+use crate::graph::Place;
+use crate::graph::RunOutcome;
+use crate::graph::Scheduler;
+use crate::graph::Task;
+use crate::graph::Timestamp;
+
+impl Scheduler {
+    /// Applies the ends that a past life has listed. They may be reported
+    /// again, and are never acknowledged.
+    pub(super) fn apply_past_ends(
+        &mut self,
+        agent: &AgentId,
+        past: &PastLife,
+        now: Timestamp,
+    ) {
+        let place = Place {
+            agent: agent.clone(),
+            life: past.life.clone(),
+        };
+        let is_repeated = self.past_lives.get(agent) == Some(past);
+        for ended in &past.ended {
+            if self.apply_member_end(&place, ended, now) {
+                continue;
+            }
+            if !is_repeated {
+                self.record_late_end(&place, ended);
+            }
+            self.apply_late_end(ended, now);
+        }
+    }
+
+    /// Applies an end that a worker lists.
+    pub(super) fn apply_listed_end(
+        &mut self,
+        place: &Place,
+        ended: &Ended,
+        now: Timestamp,
+    ) {
+        if self.apply_member_end(place, ended, now) {
+            return;
+        }
+        self.record_late_end(place, ended);
+        self.apply_late_end(ended, now);
+    }
+
+    /// Applies the end of an active member; returns whether there is one.
+    fn apply_member_end(
+        &mut self,
+        place: &Place,
+        ended: &Ended,
+        now: Timestamp,
+    ) -> bool {
+        let task = &ended.task;
+        let member = self.find_member(task, ended.run, place);
+        let Some((key, position)) = member else {
+            return false;
+        };
+        self.changed = true;
+        self.store_checkpoint(&task.job, &key, &ended.saved);
+        let end = MemberEnd::Listed(ended.how);
+        self.end_member(&task.job, &key, position, end, now);
+        true
+    }
+
+    /// Applies the end of a run that the scheduler does not hold any more.
+    fn apply_late_end(&mut self, ended: &Ended, now: Timestamp) {
+        if ended.how == RunOutcome::Done {
+            self.mark_task_done(&ended.task, now);
+        }
+    }
+
+    fn record_late_end(&mut self, place: &Place, ended: &Ended) {
+        let record = self.jobs.get(&ended.task.job);
+        let step = record.and_then(|r| r.job.steps.get(ended.task.step));
+        let key = step.map(|step| ended.task.unit(step.gang));
+        let progress = record.zip(key);
+        let progress =
+            progress.and_then(|(r, key)| r.progress.units.get(&key));
+        self.record_decision(Decision::LateEnd {
+            task: ended.task.clone(),
+            run: ended.run,
+            life: place.life.clone(),
+            end: MemberEnd::Listed(ended.how).word(),
+            latest_run: progress.map(|progress| progress.run),
+            failed: progress.map(|progress| progress.failed),
+        });
+    }
+
+    /// Marks a task as done although its run was given up: the worker was
+    /// considered lost, or the run began on a delayed order. The task must not
+    /// begin again once that end is acknowledged.
+    fn mark_task_done(&mut self, task: &Task, now: Timestamp) {
+        let Some(record) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let Some(step) = record.job.steps.get(task.step) else {
+            return;
+        };
+        let key = task.unit(step.gang);
+        let open = record.progress.units.get(&key).is_some_and(|k| !k.done);
+        // A gang's run that was given up was broken by another member.
+        if !open || step.lasting || step.gang || record.is_over() {
+            return;
+        }
+        let id = &*task.job;
+        self.release_reservation(id, &key);
+        // Another run of the task is stopped and its result ignored.
+        self.stop_unit(id, &key, StopReason::Over, now);
+        let Some(record) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let (Some(unit), Some(progress)) = (
+            record.units.get_mut(&key),
+            record.progress.units.get_mut(&key),
+        ) else {
+            return;
+        };
+        unit.any_done = matches!(unit.phase, Phase::Running(_));
+        if !unit.any_done {
+            unit.phase = Phase::Done;
+        }
+        progress.done = true;
+        progress.on.clear();
+        progress.saved.clear();
+        self.mark_dirty(id);
+        self.succeed_if_done(id, now);
+    }
+}
--- a/src/graph/liveness.rs
+++ b/src/graph/liveness.rs
@@ -150,7 +150,7 @@
             }
         }
         for (id, key, position) in remaining {
-            self.end_member(&id, &key, position, MemberEnd::WorkerSilent, now);
+            self.end_member(&id, &key, position, MemberEnd::Unread, now);
         }
     }
 
--- a/src/graph/mod.rs
+++ b/src/graph/mod.rs
@@ -29,6 +29,7 @@
 mod intake;
 mod job;
 mod job_record;
+mod late_end;
 mod life;
 mod liveness;
 pub mod loss;
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -449,6 +449,7 @@
         progress.from.clone_from(&progress.saved);
         progress.on.clone_from(&places);
         let run = progress.run;
+        let failed = progress.failed;
         let Some(unit) = record.units.get_mut(key) else {
             return;
         };
@@ -477,6 +478,7 @@
             subject: record.subject(key),
             run,
             lives: lives(&places),
+            failed,
             waited: now.monotonic.saturating_duration_since(ready),
             slack_ms: self.slack_ms(record, key, now),
             expected: self.expected_time(record, key.step),
--- a/src/graph/settle.rs
+++ b/src/graph/settle.rs
@@ -20,7 +20,6 @@
 use crate::graph::RunOutcome;
 use crate::graph::Scheduler;
 use crate::graph::SharedStr;
-use crate::graph::Task;
 use crate::graph::Timestamp;
 use crate::graph::UnitKey;
 
@@ -40,11 +39,14 @@
     /// The worker or its agent is silent, so that the worker may still be
     /// there.
     WorkerSilent,
+    /// The member ended when its gang broke, as the other members' ends show,
+    /// and its worker is out of contact: how it ended was not read.
+    Unread,
 }
 
 impl MemberEnd {
     /// Returns the value that names the end in logs.
-    fn word(self) -> &'static str {
+    pub(super) fn word(self) -> &'static str {
         match self {
             MemberEnd::Listed(RunOutcome::Done) => "done",
             MemberEnd::Listed(RunOutcome::Failed) => "failed",
@@ -68,6 +70,7 @@
             MemberEnd::NeverBegan(Refusal::Ticket) => "refused: leave ran out",
             MemberEnd::WorkerLost => "worker gone",
             MemberEnd::WorkerSilent => "worker silent",
+            MemberEnd::Unread => "ended unread",
         }
     }
 }
@@ -129,7 +132,8 @@
             }
             MemberEnd::Listed(RunOutcome::Failed | RunOutcome::Broken)
             | MemberEnd::WorkerLost
-            | MemberEnd::WorkerSilent => Interruption::Lost,
+            | MemberEnd::WorkerSilent
+            | MemberEnd::Unread => Interruption::Lost,
             MemberEnd::NeverBegan(Refusal::Barred) | MemberEnd::Listed(_) => {
                 Interruption::Stopped
             }
@@ -167,7 +171,7 @@
         }
         match end {
             MemberEnd::WorkerLost => self.count_loss(id, key, &ended_member),
-            MemberEnd::WorkerSilent => {
+            MemberEnd::WorkerSilent | MemberEnd::Unread => {
                 self.defer_loss(id, key, &ended_member, now)
             }
             _ => {}
@@ -391,50 +395,6 @@
         }
     }
 
-    /// Marks a task as done although its run was given up: the worker was
-    /// considered lost, or the run began on a delayed order. The task must not
-    /// begin again once that end is acknowledged.
-    pub(super) fn mark_task_done(&mut self, task: &Task, now: Timestamp) {
-        let Some(record) = self.jobs.get(&task.job) else {
-            return;
-        };
-        let Some(step) = record.job.steps.get(task.step) else {
-            return;
-        };
-        let key = UnitKey {
-            time: task.time,
-            step: task.step,
-            index: Some(task.index),
-        };
-        let open = record.progress.units.get(&key).is_some_and(|k| !k.done);
-        // A gang's run that was given up was broken by another member.
-        if !open || step.lasting || step.gang || record.is_over() {
-            return;
-        }
-        let id = &*task.job;
-        self.release_reservation(id, &key);
-        // Another run of the task is stopped and its result ignored.
-        self.stop_unit(id, &key, StopReason::Over, now);
-        let Some(record) = self.jobs.get_mut(id) else {
-            return;
-        };
-        let (Some(unit), Some(progress)) = (
-            record.units.get_mut(&key),
-            record.progress.units.get_mut(&key),
-        ) else {
-            return;
-        };
-        unit.any_done = matches!(unit.phase, Phase::Running(_));
-        if !unit.any_done {
-            unit.phase = Phase::Done;
-        }
-        progress.done = true;
-        progress.on.clear();
-        progress.saved.clear();
-        self.mark_dirty(id);
-        self.succeed_if_done(id, now);
-    }
-
     /// Stops a unit's run, or releases its reservation.
     pub(super) fn stop_unit(
         &mut self,
--- a/tests/it/graph.rs
+++ b/tests/it/graph.rs
@@ -31,6 +31,8 @@
     pub sequence: u64,
     pub running: Vec<Running>,
     pub ended: Vec<Ended>,
+    /// Ends that an unresponsive worker cannot list.
+    pub unread: Vec<Ended>,
     pub last_end: u64,
     pub acknowledged: u64,
     pub leaving: bool,
@@ -58,6 +60,7 @@
             sequence: 0,
             running: Vec::new(),
             ended: Vec::new(),
+            unread: Vec::new(),
             last_end: 0,
             acknowledged: 0,
             leaving: false,
