--- a/tests/it/late_ends.rs
+++ b/tests/it/late_ends.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 
 use landingvalve::graph::Decision;
+use landingvalve::graph::Options;
 use landingvalve::graph::Outcome;
 use landingvalve::graph::RunOutcome;
+use landingvalve::graph::Scheduler;
 
 use crate::graph::job;
 use crate::graph::step;
@@ -16,6 +18,8 @@
 
 /// The runs that may fail before a job of [`job`] has failed.
 const ATTEMPTS: usize = 3;
+/// The longest that a lease may last that nobody renews, with a margin.
+const LEASES_LAPSE: Duration = Duration::from_secs(14);
 /// The time after which a broken gang is given up if its worker is silent.
 const GIVEN_UP: Duration = Duration::from_millis(500);
 
@@ -92,6 +96,15 @@
     started.filter(|run| run.starts_with("gang.0.0.0 ")).count()
 }
 
+/// Replaces the scheduler by that of a new planner.
+fn replace_planner(site: &mut Site) {
+    let progress = site.scheduler.progress("gang").cloned();
+    site.scheduler = Scheduler::new(Options::default(), site.now);
+    let gang = job("gang", 1, vec![step(3, 8, true)], site);
+    site.scheduler.accept_job(gang, progress, site.now);
+    site.settle();
+}
+
 #[test]
 fn failures_that_are_read_at_once_end_the_job() {
     let mut site = gang();
@@ -103,6 +116,54 @@
     assert_eq!(run_count(&site), ATTEMPTS);
 }
 
+/// Guards against a run beyond the allowed attempts because a failure was read
+/// after its run had been given up.
+#[test]
+fn a_failure_that_is_read_after_its_run_was_given_up_counts() {
+    let mut site = gang();
+    fail(&mut site);
+    site.run_for(Duration::from_secs(1));
+    let silent = end_unread(&mut site, RunOutcome::Failed);
+    assert_eq!(run_count(&site), 3, "the unread run was given up");
+    answer_again(&mut site, silent);
+    fail(&mut site);
+    site.run_for(LEASES_LAPSE);
+    assert_eq!(run_count(&site), ATTEMPTS);
+    assert_eq!(site.outcome("gang"), Some(Outcome::Failed));
+}
+
+/// Guards against a run beyond the allowed attempts while it is not known how
+/// earlier runs have ended.
+#[test]
+fn no_run_begins_beyond_the_attempts_that_may_have_failed() {
+    let mut site = gang();
+    let silent = [0; 2].map(|_| end_unread(&mut site, RunOutcome::Failed));
+    fail(&mut site);
+    site.run_for(Duration::from_secs(2));
+    for index in silent {
+        answer_again(&mut site, index);
+    }
+    site.run_for(LEASES_LAPSE);
+    assert_eq!(run_count(&site), ATTEMPTS);
+    assert_eq!(site.outcome("gang"), Some(Outcome::Failed));
+}
+
+/// Guards against a failure that the next planner reads and does not count,
+/// because another one had given up the run.
+#[test]
+fn a_failure_that_the_next_planner_reads_counts() {
+    let mut site = gang();
+    fail(&mut site);
+    site.run_for(Duration::from_secs(1));
+    let silent = end_unread(&mut site, RunOutcome::Failed);
+    replace_planner(&mut site);
+    answer_again(&mut site, silent);
+    fail(&mut site);
+    site.run_for(LEASES_LAPSE);
+    assert_eq!(run_count(&site), ATTEMPTS);
+    assert_eq!(site.outcome("gang"), Some(Outcome::Failed));
+}
+
 /// Guards against ends that leave no trace in the log.
 #[test]
 fn an_end_that_is_read_late_is_recorded() {
