A gang that was done counts, although its run was given up

What callers saw: a gang whose workers were silent until their leases had lapsed ran a second time although it was done, also where a job must not run twice.

Change: the end 'done' of any member completes the unit, unless the other members' ends have shown that the run broke.

--- a/src/graph/late_end.rs
+++ b/src/graph/late_end.rs
@@ -17,7 +17,6 @@
 use crate::graph::Place;
 use crate::graph::RunOutcome;
 use crate::graph::Scheduler;
-use crate::graph::Task;
 use crate::graph::Timestamp;
 use crate::graph::UnitKey;
 
@@ -103,7 +102,9 @@
         }
         self.adopt_checkpoint(&key, ended);
         match ended.how {
-            RunOutcome::Done => self.mark_task_done(&ended.task, now),
+            // The other members' ends show that the gang's run broke.
+            RunOutcome::Done if key.index.is_none() && unread.is_some() => {}
+            RunOutcome::Done => self.complete_unit(&ended.task.job, &key, now),
             RunOutcome::Failed => {
                 let ran = unread.map(|unread| unread.ran);
                 self.count_late_failure(place, &key, ended, ran, now);
@@ -186,32 +187,27 @@
         });
     }
 
-    /// Marks a task as done although its run was given up: the worker was
-    /// considered lost, or the run began on a delayed order. The task must not
-    /// begin again once that end is acknowledged.
-    fn mark_task_done(&mut self, task: &Task, now: Timestamp) {
-        let Some(record) = self.jobs.get(&task.job) else {
+    /// Marks a unit as done although its run was given up: its workers were
+    /// considered lost, or the run began on a delayed order. It must not begin
+    /// again once that end is acknowledged.
+    fn complete_unit(&mut self, id: &str, key: &UnitKey, now: Timestamp) {
+        let Some(record) = self.jobs.get(id) else {
             return;
         };
-        let Some(step) = record.job.steps.get(task.step) else {
-            return;
-        };
-        let key = task.unit(step.gang);
-        let open = record.progress.units.get(&key).is_some_and(|k| !k.done);
-        // A gang's run that was given up was broken by another member.
-        if !open || step.lasting || step.gang || record.is_over() {
+        let open = record.progress.units.get(key).is_some_and(|k| !k.done);
+        let lasting = record.job.steps[key.step].lasting;
+        if !open || lasting || record.is_over() {
             return;
         }
-        let id = &*task.job;
-        self.release_reservation(id, &key);
+        self.release_reservation(id, key);
         // Another run of the task is stopped and its result ignored.
-        self.stop_unit(id, &key, StopReason::Over, now);
+        self.stop_unit(id, key, StopReason::Over, now);
         let Some(record) = self.jobs.get_mut(id) else {
             return;
         };
         let (Some(unit), Some(progress)) = (
-            record.units.get_mut(&key),
-            record.progress.units.get_mut(&key),
+            record.units.get_mut(key),
+            record.progress.units.get_mut(key),
         ) else {
             return;
         };
--- a/tests/it/late_ends.rs
+++ b/tests/it/late_ends.rs
@@ -384,3 +384,24 @@
     let failed: Vec<u32> = progress.units.values().map(|u| u.failed).collect();
     assert_eq!(failed, [1]);
 }
+
+/// Guards against a gang that begins again, or goes on, although an earlier run
+/// was done: its workers were silent until their leases had lapsed.
+#[test]
+fn a_gang_that_was_done_unread_is_done() {
+    let mut site = gang();
+    let mut away: Vec<_> = running_on(&site)
+        .into_iter()
+        .rev()
+        .map(|index| site.workers.remove(index))
+        .collect();
+    site.run_for(LEASES_LAPSE);
+    assert_eq!(site.running("gang"), 3, "it has begun elsewhere");
+    for worker in &mut away {
+        worker.end(RunOutcome::Done, |_| true);
+    }
+    site.workers.push(away.remove(0));
+    site.run_for(Duration::from_secs(1));
+    assert_eq!(site.outcome("gang"), Some(Outcome::Succeeded));
+    assert_eq!(site.running("gang"), 0, "the later run is stopped");
+}
