The simulation draws failures behind cuts

Cause: a run failed in the simulation only on a worker that fails everything, so that an end 'failed' was next to never read after its run had been given up.

--- a/crates/landingvalve-sim/src/day.rs
+++ b/crates/landingvalve-sim/src/day.rs
@@ -1,6 +1,7 @@
 //! Simulates a day: processes, workers, jobs and faults, drawn from a seed.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -22,6 +23,7 @@
 use landingvalve::graph::Options;
 use landingvalve::graph::Resources;
 use landingvalve::graph::Run;
+use landingvalve::graph::RunOutcome;
 use landingvalve::graph::Step;
 use landingvalve::graph::Task;
 use landingvalve::log;
@@ -58,6 +60,17 @@
 /// Distinguishes the draws of goodbyes and early cancels from the others of a
 /// seed.
 const DEPARTURES_SEED: u64 = 0x6465_7061_7274;
+/// Mean time from one cut beside failing tasks to the next.
+const MEAN_CUT_INTERVAL: Duration = Duration::from_millis(1500);
+/// Shortest and longest time of such a cut, in ms: around the time after which
+/// a broken gang is given up.
+const CUT_MS: std::ops::Range<u64> = 1500..5000;
+/// Longest time from the begin of such a cut to the failures behind it, in ms.
+const MAX_FAILURE_DELAY_MS: u64 = 1500;
+/// One run in this number fails, of a job whose tasks fail.
+const FAILING_RUN_INTERVAL: u64 = 2;
+/// Distinguishes the draws of failures from the others of a seed.
+const FAILURES_SEED: u64 = 0x6661_696c;
 /// Mean time from one fault to the next.
 const MEAN_FAULT_INTERVAL: Duration = Duration::from_millis(1500);
 
@@ -79,6 +92,9 @@
     /// whose acceptance they have not heard. Off in the days whose seeds were
     /// recorded before these were drawn.
     pub has_departures: bool,
+    /// Whether tasks fail on sound workers, at times while their worker or its
+    /// agent is cut off.
+    pub has_failures: bool,
 }
 
 impl Scenario {
@@ -92,6 +108,7 @@
             jobs: 40,
             fault_duration: Duration::from_secs(40),
             has_departures: true,
+            has_failures: false,
         }
     }
 
@@ -163,6 +180,10 @@
     random: fastrand::Rng,
     /// Draws goodbyes and early cancels.
     departures: fastrand::Rng,
+    /// Draws failing jobs, and cuts beside their failures.
+    failures: fastrand::Rng,
+    /// Jobs whose runs fail at times.
+    failing_jobs: BTreeSet<JobId>,
     network: Network,
     store: Server,
     checker: Checker,
@@ -216,6 +237,8 @@
             departures: fastrand::Rng::with_seed(
                 scenario.seed ^ DEPARTURES_SEED,
             ),
+            failures: fastrand::Rng::with_seed(scenario.seed ^ FAILURES_SEED),
+            failing_jobs: BTreeSet::new(),
             network: Network::default(),
             store: Server::new(scenario.seed, scenario.max_write_delay()),
             checker: checker.clone(),
@@ -256,6 +279,7 @@
         let mut next_job = self.start + Duration::from_secs(3);
         let mut next_fault = self.start + Duration::from_secs(4);
         let mut next_goodbye = next_fault;
+        let mut next_cut = next_fault;
         let mut next_heartbeat = self.start;
         let mut submitted = 0;
         let mut tick = tokio::time::interval(TICK_INTERVAL);
@@ -285,6 +309,12 @@
                 next_goodbye = now + MEAN_GOODBYE_INTERVAL.mul_f64(share);
                 self.say_goodbye(now);
             }
+            let cuts = self.scenario.has_failures;
+            if cuts && now >= next_cut && now < faults_end {
+                let share = 2.0 * self.failures.f64();
+                next_cut = now + MEAN_CUT_INTERVAL.mul_f64(share);
+                self.fail_behind_cut(now);
+            }
             let timed_out = now >= faults_end + SETTLE_TIMEOUT;
             let settled = now >= faults_end && self.pending_undos.is_empty();
             let done = settled
@@ -397,22 +427,33 @@
             let members = present.get(&(first, run)).copied().unwrap_or(0);
             step.gang.then_some(members >= step.replicas)
         };
-        let work = |task: &Task| {
-            jobs.get(&task.job)
-                .map_or(Duration::ZERO, |(_, work)| *work)
+        let course = |task: &Task, run: Run| {
+            let work = jobs.get(&task.job).map_or(Duration::ZERO, |(_, w)| *w);
+            let fails = self.failing_jobs.contains(&task.job)
+                && fails(self.scenario.seed, task, run);
+            match fails {
+                true => worker::Course {
+                    work: work / 2,
+                    outcome: RunOutcome::Failed,
+                },
+                false => worker::Course {
+                    work,
+                    outcome: RunOutcome::Done,
+                },
+            }
         };
         let mut ended_gangs = Vec::new();
         for agent in &self.agents {
             ended_gangs.extend(agent.endpoint.advance(
                 TICK_INTERVAL,
                 is_complete,
-                work,
+                course,
             ));
         }
         for (task, run, outcome) in ended_gangs {
             let outcome = match outcome {
-                landingvalve::graph::RunOutcome::Done => outcome,
-                _ => landingvalve::graph::RunOutcome::Broken,
+                RunOutcome::Done => outcome,
+                _ => RunOutcome::Broken,
             };
             for agent in &self.agents {
                 agent.endpoint.end_gang(&task, run, outcome);
@@ -460,6 +501,34 @@
         }
     }
 
+    /// Cuts a worker off from its agent, or the agent's machine from the other
+    /// processes, and lets the tasks behind the cut fail.
+    fn fail_behind_cut(&mut self, now: Instant) {
+        let at = self.failures.usize(..self.agents.len());
+        let machine = self.scenario.entries + at;
+        let end = now + Duration::from_millis(self.failures.u64(CUT_MS));
+        let delay = self.failures.u64(..MAX_FAILURE_DELAY_MS);
+        let endpoint = &self.agents[at].endpoint;
+        let undo = match self.failures.bool() {
+            true => {
+                self.network.set_isolated(machine, true);
+                Undo::Cut(machine)
+            }
+            false => {
+                endpoint.set_faults(worker::Faults {
+                    silent: true,
+                    ..worker::Faults::default()
+                });
+                Undo::Worker(at)
+            }
+        };
+        endpoint.fail_running(now + Duration::from_millis(delay));
+        *self.faults.entry("failures behind a cut").or_default() += 1;
+        self.checker
+            .record(format!("fault: failures behind a cut, {undo:?}"));
+        self.pending_undos.push((end, undo));
+    }
+
     fn send_heartbeats(&mut self) {
         for agent in &self.agents {
             if let Some(member) = &agent.member {
@@ -496,6 +565,9 @@
                 agent.endpoint.crash_on_job(&job.id);
             }
         }
+        if self.scenario.has_failures && self.failures.u32(..2) == 0 {
+            self.failing_jobs.insert(job.id.clone());
+        }
         self.checker.record_submission(&job);
         let cancel = self.random.u32(..10) == 0;
         let cancel = cancel.then(|| self.random.u64(100..5000));
@@ -700,6 +772,15 @@
     }
 }
 
+/// Returns whether a run of a failing job fails, the same each time.
+fn fails(seed: u64, task: &Task, run: Run) -> bool {
+    let text = format!("{seed} {task} {run}");
+    let hash = text.bytes().fold(FAILURES_SEED, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    fastrand::Rng::with_seed(hash).u64(..FAILING_RUN_INTERVAL) == 0
+}
+
 /// A caller that submits a job and polls it until it has ended.
 #[derive(Clone)]
 struct Caller {
--- a/crates/landingvalve-sim/src/main.rs
+++ b/crates/landingvalve-sim/src/main.rs
@@ -35,6 +35,9 @@
     /// Leave out goodbyes of workers and cancels before the acceptance.
     #[arg(long)]
     no_departures: bool,
+    /// Let tasks fail on sound workers, also behind cuts.
+    #[arg(long)]
+    failures: bool,
     /// Stop at the first day that violates an invariant.
     #[arg(long)]
     first: bool,
@@ -59,6 +62,7 @@
             jobs: args.jobs,
             fault_duration: Duration::from_secs(args.seconds),
             has_departures: !args.no_departures,
+            has_failures: args.failures,
         });
         starts += report.starts;
         repeated_starts += report.repeated_starts;
