A past life's checkpoint is stored once

Cause: an agent repeats the ends of its worker's past life with each report, and since late ends are used their checkpoint was stored each time. Two workers with different checkpoints of one gang's run made each report a write.

Change: a checkpoint is taken from a past end only when that is new; nothing is done for a unit that is done or a job that is over. A run number at the end of its range no longer overflows.

--- a/src/graph/attempts.rs
+++ b/src/graph/attempts.rs
@@ -53,9 +53,9 @@
         self.failed + unread.len() as u32
     }
 
-    /// Records that the end of a member was read; returns whether it was given
-    /// up before.
-    pub(super) fn settle_unread(
+    /// Removes and returns the entry of a member that was given up before its
+    /// end was read, if there is one.
+    pub(super) fn take_unread(
         &mut self,
         run: Run,
         index: u32,
--- a/src/graph/late_end.rs
+++ b/src/graph/late_end.rs
@@ -17,6 +17,7 @@
 use crate::graph::Place;
 use crate::graph::RunOutcome;
 use crate::graph::Scheduler;
+use crate::graph::Task;
 use crate::graph::Timestamp;
 use crate::graph::UnitKey;
 
@@ -40,6 +41,7 @@
             }
             if !is_repeated {
                 self.record_late_end(&place, ended);
+                self.adopt_checkpoint(ended);
             }
             self.apply_late_end(&place, ended, now);
         }
@@ -56,6 +58,7 @@
             return;
         }
         self.record_late_end(place, ended);
+        self.adopt_checkpoint(ended);
         self.apply_late_end(place, ended, now);
     }
 
@@ -85,22 +88,19 @@
         ended: &Ended,
         now: Timestamp,
     ) {
-        let Some(record) = self.jobs.get_mut(&ended.task.job) else {
+        let Some(key) = self.open_unit(&ended.task) else {
             return;
         };
-        let Some(step) = record.job.steps.get(ended.task.step) else {
+        let record = self.jobs.get_mut(&ended.task.job);
+        let progress = record.and_then(|r| r.progress.units.get_mut(&key));
+        let Some(progress) = progress else {
             return;
         };
-        let key = ended.task.unit(step.gang);
-        let Some(progress) = record.progress.units.get_mut(&key) else {
-            return;
-        };
-        let unread = progress.settle_unread(ended.run, ended.task.index);
+        let unread = progress.take_unread(ended.run, ended.task.index);
         if unread.is_some() {
             self.changed = true;
             self.mark_dirty(&ended.task.job);
         }
-        self.adopt_checkpoint(&key, ended);
         match ended.how {
             // The other members' ends show that the gang's run broke.
             RunOutcome::Done if key.index.is_none() && unread.is_some() => {}
@@ -113,19 +113,32 @@
         }
     }
 
+    /// Returns the unit of a task whose job is known and not over, and which is
+    /// not done.
+    fn open_unit(&self, task: &Task) -> Option<UnitKey> {
+        let record = self.jobs.get(&task.job)?;
+        let key = task.unit(record.job.steps.get(task.step)?.gang);
+        let progress = record.progress.units.get(&key)?;
+        (!record.is_over() && !progress.done).then_some(key)
+    }
+
     /// Stores the checkpoint of a run's end, if no later run can have gone
     /// further.
-    fn adopt_checkpoint(&mut self, key: &UnitKey, ended: &Ended) {
-        let record = self.jobs.get(&ended.task.job);
-        let progress = record.and_then(|r| r.progress.units.get(key));
+    fn adopt_checkpoint(&mut self, ended: &Ended) {
+        let id = &*ended.task.job;
+        let Some(key) = self.open_unit(&ended.task) else {
+            return;
+        };
+        let record = self.jobs.get(id);
+        let progress = record.and_then(|r| r.progress.units.get(&key));
         let is_latest = progress.is_some_and(|progress| {
-            let is_last = ended.run == progress.run;
-            let is_last_but_one = ended.run + 1 == progress.run;
             let unchanged = progress.saved == progress.from;
-            !progress.done && (is_last || is_last_but_one && unchanged)
+            let next_run = ended.run.checked_add(1);
+            ended.run == progress.run
+                || next_run == Some(progress.run) && unchanged
         });
         if is_latest {
-            self.store_checkpoint(&ended.task.job, key, &ended.saved);
+            self.store_checkpoint(id, &key, &ended.saved);
         }
     }
 
@@ -150,8 +163,8 @@
         ) else {
             return;
         };
-        let open = !progress.done && !lasting && ended.run <= progress.run;
-        if !open || !progress.count_failure(ended.run) {
+        let counts = !lasting && ended.run <= progress.run;
+        if !counts || !progress.count_failure(ended.run) {
             return;
         }
         unit.avoided.push(place.agent.clone());
@@ -160,23 +173,21 @@
             record.own_failures.push(key, &place.agent, ran);
         }
         let must_fail = record.has_failed(key) && !is_running;
-        let over = record.is_over();
         self.changed = true;
         self.mark_dirty(id);
         let end = MemberEnd::Listed(ended.how);
         self.update_worker_health(place, &ended.task.job, key, end, None, now);
-        if must_fail && !over {
+        if must_fail {
             self.end_job(id, Outcome::Failed, now);
         }
     }
 
     fn record_late_end(&mut self, place: &Place, ended: &Ended) {
         let record = self.jobs.get(&ended.task.job);
-        let step = record.and_then(|r| r.job.steps.get(ended.task.step));
-        let key = step.map(|step| ended.task.unit(step.gang));
-        let progress = record.zip(key);
-        let progress =
-            progress.and_then(|(r, key)| r.progress.units.get(&key));
+        let progress = record.and_then(|record| {
+            let step = record.job.steps.get(ended.task.step)?;
+            record.progress.units.get(&ended.task.unit(step.gang))
+        });
         self.record_decision(Decision::LateEnd {
             task: ended.task.clone(),
             run: ended.run,
@@ -194,9 +205,7 @@
         let Some(record) = self.jobs.get(id) else {
             return;
         };
-        let open = record.progress.units.get(key).is_some_and(|k| !k.done);
-        let lasting = record.job.steps[key.step].lasting;
-        if !open || lasting || record.is_over() {
+        if record.job.steps[key.step].lasting {
             return;
         }
         self.release_reservation(id, key);
--- a/tests/it/late_ends.rs
+++ b/tests/it/late_ends.rs
@@ -10,6 +10,7 @@
 use landingvalve::graph::Ended;
 use landingvalve::graph::Options;
 use landingvalve::graph::Outcome;
+use landingvalve::graph::PastLife;
 use landingvalve::graph::RunOutcome;
 use landingvalve::graph::Scheduler;
 
@@ -405,3 +406,32 @@
     assert_eq!(site.outcome("gang"), Some(Outcome::Succeeded));
     assert_eq!(site.running("gang"), 0, "the later run is stopped");
 }
+
+/// Guards against a store call for each report, because two workers report
+/// different checkpoints of one run of a gang again and again.
+#[test]
+fn a_past_life_s_checkpoint_is_stored_once() {
+    let mut site = gang();
+    let workers = running_on(&site);
+    for (number, index) in workers.iter().enumerate() {
+        let worker = &mut site.workers[*index];
+        worker.end(RunOutcome::Stopped, |_| true);
+        worker.ended[0].saved = format!("checkpoint {number}");
+        worker.past_life = Some(PastLife {
+            life: format!("{}-{}", worker.agent, worker.life).into(),
+            begun: Vec::new(),
+            short: Vec::new(),
+            unseen: false,
+            over: false,
+            ended: std::mem::take(&mut worker.ended),
+        });
+        worker.life += 1;
+        worker.last_end = 0;
+    }
+    site.settle();
+    for index in workers {
+        let report = site.workers[index].report();
+        site.scheduler.apply_report(report, site.now);
+    }
+    assert!(!site.scheduler.is_dirty(), "nothing new was reported");
+}
