--- a/tests/it/late_ends.rs
+++ b/tests/it/late_ends.rs
@@ -92,6 +92,23 @@
     site.settle();
 }
 
+/// Starts a gang whose first run has failed, and whose second has failed unread
+/// on a silent worker. Returns that worker's index.
+fn gang_that_failed_twice() -> (Site, usize) {
+    let mut site = gang();
+    fail(&mut site);
+    site.run_for(Duration::from_secs(1));
+    let silent = end_unread(&mut site, RunOutcome::Failed);
+    (site, silent)
+}
+
+/// Checks that the job has failed and that no run began beyond its attempts.
+fn check_failed(site: &mut Site) {
+    site.run_for(LEASES_LAPSE);
+    assert_eq!(run_count(site), ATTEMPTS);
+    assert_eq!(site.outcome("gang"), Some(Outcome::Failed));
+}
+
 /// Returns how many runs of the gang have begun.
 fn run_count(site: &Site) -> usize {
     let started = site.workers.iter().flat_map(|w| &w.started_runs);
@@ -122,16 +139,11 @@
 /// after its run had been given up.
 #[test]
 fn a_failure_that_is_read_after_its_run_was_given_up_counts() {
-    let mut site = gang();
-    fail(&mut site);
-    site.run_for(Duration::from_secs(1));
-    let silent = end_unread(&mut site, RunOutcome::Failed);
+    let (mut site, silent) = gang_that_failed_twice();
     assert_eq!(run_count(&site), 3, "the unread run was given up");
     answer_again(&mut site, silent);
     fail(&mut site);
-    site.run_for(LEASES_LAPSE);
-    assert_eq!(run_count(&site), ATTEMPTS);
-    assert_eq!(site.outcome("gang"), Some(Outcome::Failed));
+    check_failed(&mut site);
 }
 
 /// Guards against a run beyond the allowed attempts while it is not known how
@@ -145,34 +157,24 @@
     for index in silent {
         answer_again(&mut site, index);
     }
-    site.run_for(LEASES_LAPSE);
-    assert_eq!(run_count(&site), ATTEMPTS);
-    assert_eq!(site.outcome("gang"), Some(Outcome::Failed));
+    check_failed(&mut site);
 }
 
 /// Guards against a failure that the next planner reads and does not count,
 /// because another one had given up the run.
 #[test]
 fn a_failure_that_the_next_planner_reads_counts() {
-    let mut site = gang();
-    fail(&mut site);
-    site.run_for(Duration::from_secs(1));
-    let silent = end_unread(&mut site, RunOutcome::Failed);
+    let (mut site, silent) = gang_that_failed_twice();
     replace_planner(&mut site);
     answer_again(&mut site, silent);
     fail(&mut site);
-    site.run_for(LEASES_LAPSE);
-    assert_eq!(run_count(&site), ATTEMPTS);
-    assert_eq!(site.outcome("gang"), Some(Outcome::Failed));
+    check_failed(&mut site);
 }
 
 /// Guards against ends that leave no trace in the log.
 #[test]
 fn an_end_that_is_read_late_is_recorded() {
-    let mut site = gang();
-    fail(&mut site);
-    site.run_for(Duration::from_secs(1));
-    let silent = end_unread(&mut site, RunOutcome::Failed);
+    let (mut site, silent) = gang_that_failed_twice();
     answer_again(&mut site, silent);
     let decisions = site.scheduler.take_decisions();
     let given_up = |d: &&Decision| matches!(d, Decision::Ended { run: 2, end, .. } if *end == "ended unread");
