Log which answers agents have received, and the begin of gangs

What callers saw: part of a gang ran alone. Nothing told why: a planner counted an answer as delivered once it was sent, and no line named the first and last begin of a gang or its missing members.

Change: a report names the last report whose answer brought orders (`received`). The planner logs and counts an answer that was not received (`an answer was not received`, `landingvalve_answers_lost`). `a gang has begun` gives the times of the first and last begin (`landingvalve_gang_begin_seconds`), and `members of a gang have not begun` names the missing ones and whether their orders were sent. No decision changes. Agents of the version before name nothing and are not counted.

--- a/benches/pass.rs
+++ b/benches/pass.rs
@@ -173,6 +173,7 @@
             agent: format!("agent{index:04}").into(),
             process: "process".to_owned(),
             sequence: self.sequence,
+            received: None,
             gone: None,
             before: None,
             silent: false,
--- a/crates/landingvalve-experiment/src/fleet.rs
+++ b/crates/landingvalve-experiment/src/fleet.rs
@@ -284,6 +284,7 @@
             agent: self.agent.as_str().into(),
             process: "agent".to_owned(),
             sequence: self.sequence,
+            received: None,
             gone: (!self.is_up()).then(|| gone.as_str().into()),
             before: None,
             silent: false,
--- a/src/cell/decision_log.rs
+++ b/src/cell/decision_log.rs
@@ -12,6 +12,7 @@
 use crate::graph::Decision;
 use crate::graph::GuaranteeStatus;
 use crate::graph::Holder;
+use crate::graph::MissingMember;
 use crate::graph::Outcome;
 use crate::graph::Scheduler;
 use crate::graph::SharedStr;
@@ -31,6 +32,8 @@
 
 /// The most accounts that the metric of use names. Each is a series of its own.
 const MAX_NAMED_ACCOUNTS: usize = 64;
+/// The most members of a gang that a line names.
+const MAX_NAMED_MEMBERS: usize = 8;
 /// The name of all other accounts in that metric.
 const OTHER_ACCOUNTS: &str = "(other)";
 /// How often the metric of use is recorded.
@@ -191,6 +194,12 @@
             }
             "placed"
         }
+        Decision::GangBegan { first, last, .. } => {
+            let spread = last.saturating_sub(*first);
+            metrics.gang_begin_seconds.record(spread.as_secs_f64(), &[]);
+            "gang begun"
+        }
+        Decision::GangIncomplete { .. } => "gang incomplete",
         Decision::Stopped { .. } => "stopped",
         Decision::Ended { end, ran, .. } => {
             metrics
@@ -340,6 +349,23 @@
             "waited_ms" => millis(waited), "slack_ms" => slack_ms, "expected_ms" => millis(expected),
             Guarantee(*guarantee), "share" => share.map(rounded),
             "token" => token),
+        Decision::GangBegan {
+            subject,
+            run,
+            members,
+            first,
+            last,
+        } => slog::info!(log,
+            "planner: a gang has begun"; subject, "run" => run,
+            "members" => members, "first_ms" => millis(first),
+            "last_ms" => millis(last), "token" => token),
+        Decision::GangIncomplete {
+            subject,
+            run,
+            missing,
+        } => slog::warn!(log,
+            "planner: members of a gang have not begun"; subject,
+            "run" => run, "missing" => members(missing), "token" => token),
         Decision::Stopped {
             subject,
             run,
@@ -461,6 +487,14 @@
     names.join(",")
 }
 
+/// Returns the first of the missing members as the value of a field, with
+/// their number.
+fn members(missing: &[MissingMember]) -> String {
+    let named = missing.iter().take(MAX_NAMED_MEMBERS);
+    let named: Vec<String> = named.map(MissingMember::to_string).collect();
+    format!("{}: {}", missing.len(), named.join(", "))
+}
+
 /// Returns holders as the value of a field, or `None` if there are none.
 fn holder_list(holders: &[Holder]) -> Option<String> {
     let names: Vec<String> = holders.iter().map(Holder::to_string).collect();
--- a/src/cell/member/link.rs
+++ b/src/cell/member/link.rs
@@ -120,6 +120,7 @@
                 }
                 state.report(&self.0.config, Instant::now())
             };
+            let sequence = report.sequence;
             let sync = client.sync(report);
             let answer = tokio::select! {
                 biased;
@@ -140,6 +141,7 @@
                 })) => {
                     let until = sent + self.0.config.survival;
                     let until = granted.then_some(until);
+                    self.lock().mark_received(sequence);
                     self.apply_orders(token, until, orders);
                 }
                 Ok(Ok(Answer::NotPlanner)) | Ok(Err(_)) | Err(_) => return,
--- a/src/cell/member/state.rs
+++ b/src/cell/member/state.rs
@@ -82,6 +82,8 @@
     /// The life of this process, drawn at random.
     process: String,
     sequence: u64,
+    /// The number of the last report whose answer brought orders, or 0.
+    received: u64,
     /// The highest fencing token seen.
     pub token: Revision,
     /// The time until which the worker's tasks may run.
@@ -108,6 +110,7 @@
         State {
             process: uuid::Uuid::new_v4().simple().to_string(),
             sequence: 0,
+            received: 0,
             token: 0,
             granted_until: None,
             last_planner_answer: BootInstant::now(),
@@ -251,6 +254,7 @@
             agent: config.agent.clone(),
             process: self.process.clone(),
             sequence: self.sequence,
+            received: Some(self.received),
             gone: over.map(|view| view.heartbeat.life.clone()),
             before,
             silent: over.is_some_and(|view| view.has_lapsed() && !view.down),
@@ -264,6 +268,11 @@
         }
     }
 
+    /// Records that the answer to a report brought orders.
+    pub fn mark_received(&mut self, sequence: u64) {
+        self.received = self.received.max(sequence);
+    }
+
     /// Applies a planner's orders. Returns the runs to start or stop now.
     pub fn take_orders(
         &mut self,
--- a/src/cell/planner/mod.rs
+++ b/src/cell/planner/mod.rs
@@ -1,6 +1,7 @@
 //! The planner: an actor that drives the decision core while the claim holds.
 
 mod calls;
+mod delivery;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -19,6 +20,7 @@
 use crate::cell::decision_log::Recorder;
 use crate::cell::keys;
 use crate::cell::keys::Intake;
+use crate::cell::planner::delivery::Deliveries;
 use crate::cell::record::Head;
 use crate::cell::record::Part;
 use crate::cell::rpc::Answer;
@@ -139,6 +141,8 @@
     /// Whether a pass is postponed until `next_pass_at`.
     is_pass_postponed: bool,
     waiting: BTreeMap<AgentId, Waiting>,
+    /// The last answers with orders.
+    deliveries: Deliveries,
     /// Agents whose orders have changed while no report of theirs was waiting.
     due: BTreeSet<AgentId>,
     guarantees: BTreeMap<SharedStr, i64>,
@@ -231,6 +235,7 @@
             next_pass_at: Instant::now(),
             is_pass_postponed: false,
             waiting: BTreeMap::new(),
+            deliveries: Deliveries::default(),
             due: BTreeSet::new(),
             guarantees: BTreeMap::new(),
             claim_lost: arguments.claim_lost,
@@ -390,6 +395,12 @@
             send_answer(&self.log, waiting.reply, Answer::NotPlanner);
             return;
         }
+        if let Some(lost) = self.deliveries.lost_answer(&report) {
+            metrics::get().answers_lost.add(1, &[]);
+            slog::info!(self.log, "planner: an answer was not received";
+                "agent" => &*agent, "answer" => lost,
+                "report" => report.sequence, "token" => self.claim.token);
+        }
         self.scheduler.apply_report(report, Timestamp::now());
         if let Some(earlier) = self.waiting.insert(agent, waiting) {
             // The agent has given up the earlier report for the new one.
@@ -510,6 +521,12 @@
                 continue;
             };
             self.due.remove(agent);
+            if holds {
+                let Waiting {
+                    process, sequence, ..
+                } = &waiting;
+                self.deliveries.record(agent, process, *sequence);
+            }
             let answer = match holds {
                 true => Answer::Orders {
                     token: self.claim.token,
--- a/src/graph/decision.rs
+++ b/src/graph/decision.rs
@@ -1,5 +1,6 @@
 //! Decisions of the scheduler, for the log.
 
+use std::fmt;
 use std::time::Duration;
 
 use crate::graph::AgentId;
@@ -40,6 +41,24 @@
     Rack,
 }
 
+/// A member of a gang that is not known to have begun.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MissingMember {
+    /// The index of the member's task within its step.
+    pub index: u32,
+    /// The worker that was to start the member.
+    pub life: Life,
+    /// Whether the order was sent to the worker's agent.
+    pub sent: bool,
+}
+
+impl fmt::Display for MissingMember {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let sent = if self.sent { "sent" } else { "not sent" };
+        write!(f, "{} on {} ({sent})", self.index, &*self.life)
+    }
+}
+
 /// A decision and the values behind it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
@@ -180,6 +199,29 @@
         /// decides the order.
         share: Option<f64>,
     },
+    /// All members of a gang have begun. The times are those at which their
+    /// workers' lists were read, counted from the assignment of the run.
+    GangBegan {
+        /// The gang.
+        subject: Subject,
+        /// The number of the run.
+        run: Run,
+        /// The number of the gang's members.
+        members: usize,
+        /// When the first member was known to have begun.
+        first: Duration,
+        /// When the last member was known to have begun.
+        last: Duration,
+    },
+    /// A member of a gang has waited in vain for others.
+    GangIncomplete {
+        /// The gang.
+        subject: Subject,
+        /// The number of the run.
+        run: Run,
+        /// The members that are not known to have begun.
+        missing: Vec<MissingMember>,
+    },
     /// A run is stopped.
     Stopped {
         /// The unit whose run is stopped.
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -355,6 +355,7 @@
             return false;
         };
         let suspect = !record.cleared && record.is_suspect(&key);
+        let begins = record.has_not_begun(&key, position);
         let progress = record.progress.units.get_mut(&key);
         let progress = progress
             .filter(|k| !running.saved.is_empty() && k.saved != running.saved);
@@ -373,6 +374,7 @@
             self.changed = true;
             member.state = MemberState::Running;
             member.last_work = now.monotonic;
+            member.begun_at.get_or_insert(now.monotonic);
             self.agents_to_order.insert(place.agent.clone());
         }
         // A task without a load figure counts as working.
@@ -394,6 +396,9 @@
         }
         let whole_time = member.work.and_then(|work| work.whole_time());
         let proven = member.is_proven();
+        if begins {
+            self.record_gang_begun(&running.task.job, &key);
+        }
         if proven && suspect {
             self.clear_suspicion(&running.task.job, &key);
         }
@@ -548,6 +553,7 @@
         state: MemberState::Ordered(0),
         sent: true,
         assigned_at: now,
+        begun_at: None,
         inherited: true,
         showed_work: true,
         last_work: now,
--- a/src/graph/report.rs
+++ b/src/graph/report.rs
@@ -179,6 +179,10 @@
     pub process: String,
     /// The number of the report, which rises within the process.
     pub sequence: u64,
+    /// The number of the last report of this process whose answer brought
+    /// orders, 0 before the first. `None` from agents that do not tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub received: Option<u64>,
     /// A life of the worker that is over.
     #[serde(default)]
     pub gone: Option<Life>,
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -561,6 +561,7 @@
         state,
         sent: false,
         assigned_at: now.monotonic,
+        begun_at: None,
         inherited: false,
         showed_work: false,
         last_work: now.monotonic,
--- a/src/graph/settle.rs
+++ b/src/graph/settle.rs
@@ -188,6 +188,9 @@
         if let Some(ran) = run_time {
             self.record_run_time(&job, key, ran);
         }
+        if end == MemberEnd::Listed(RunOutcome::Alone) {
+            self.record_missing_members(id, key);
+        }
         self.record_decision(Decision::Ended {
             subject,
             run,
--- a/src/graph/unit.rs
+++ b/src/graph/unit.rs
@@ -32,6 +32,8 @@
     /// Whether the start was ever sent to an agent.
     pub sent: bool,
     pub assigned_at: Instant,
+    /// When the member was first listed as running.
+    pub begun_at: Option<Instant>,
     /// Whether an earlier planner assigned the run; how long it has run is
     /// then unknown.
     pub inherited: bool,
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -95,6 +95,14 @@
         "landingvalve_starts_waiting",
         "Starts that an agent has kept waiting, by reason.",
     ),
+    describe(
+        "landingvalve_gang_begin_seconds",
+        "Time from the first to the last begin of a gang's members.",
+    ),
+    describe(
+        "landingvalve_answers_lost",
+        "Answers with orders that an agent did not receive.",
+    ),
     describe(
         "landingvalve_limited",
         "What was turned away at a limit of this process, by limit.",
@@ -203,6 +211,10 @@
     pub looks: Counter<u64>,
     /// Starts delayed by an agent.
     pub starts_waiting: Counter<u64>,
+    /// Time from the first to the last begin of a gang's members, in seconds.
+    pub gang_begin_seconds: Histogram<f64>,
+    /// Answers with orders that an agent did not receive.
+    pub answers_lost: Counter<u64>,
     /// Connections and requests rejected at a limit of this process.
     pub limited: Counter<u64>,
     /// Calls of the store relayed by another entry.
@@ -275,6 +287,8 @@
             order_seconds: histogram("landingvalve_order_seconds"),
             looks: counter("landingvalve_looks"),
             starts_waiting: counter("landingvalve_starts_waiting"),
+            gang_begin_seconds: histogram("landingvalve_gang_begin_seconds"),
+            answers_lost: counter("landingvalve_answers_lost"),
             limited: counter("landingvalve_limited"),
             relayed: counter("landingvalve_relayed"),
             strange: counter("landingvalve_strange"),
--- a/tests/it/graph.rs
+++ b/tests/it/graph.rs
@@ -85,6 +85,7 @@
             agent: self.agent.clone(),
             process: "process".to_owned(),
             sequence: self.sequence,
+            received: None,
             gone: None,
             before: self.past_life.clone(),
             silent: false,
--- a/tests/it/graph_faults.rs
+++ b/tests/it/graph_faults.rs
@@ -680,6 +680,7 @@
             agent: worker.agent.clone(),
             process: "process".to_owned(),
             sequence: worker.sequence,
+            received: None,
             gone: gone.map(life),
             before: worker.past_life.clone(),
             silent: false,
