Send orders again that an agent did not receive

What callers saw: part of a gang ran alone (GANG). Its begun members ended after the gang's wait, and the gang began again 0.2 s later.

Cause: the mark that an agent's orders have changed was cleared when the answer was sent. An agent gives up its waiting report whenever it has news; an answer that is on its way at that moment is read by nobody. The newer report began a new wait, so while reports come less than 1 s apart (progress each 300 ms while a worker's speed is unknown) the orders were not sent again before something else changed. The class: an answer counted as delivered when it was sent.

Change: a report shows which answer its agent received last (`received`). If that is not the last one that was sent, the report is answered at once with all present orders. The same holds for an agent that has restarted.

--- a/src/cell/planner/delivery.rs
+++ b/src/cell/planner/delivery.rs
@@ -26,15 +26,17 @@
         self.0.insert(agent.clone(), answered);
     }
 
-    /// Returns the number of the report whose answer the agent did not
-    /// receive, if this newer report shows that. The agent may have given up
-    /// that report, or the connection broke.
+    /// Returns the number of the report whose answer the agent does not have,
+    /// if this newer report shows that. The agent may have given up that
+    /// report or restarted, or the connection broke.
     pub fn lost_answer(&self, report: &Report) -> Option<u64> {
         let answered = self.0.get(&report.agent)?;
         let received = report.received?;
-        let is_lost = answered.process == report.process
-            && answered.sequence < report.sequence
-            && received < answered.sequence;
+        let is_lost = match answered.process == report.process {
+            true if report.sequence < answered.sequence => false,
+            true => received < answered.sequence,
+            false => true,
+        };
         is_lost.then_some(answered.sequence)
     }
 }
--- a/src/cell/planner/mod.rs
+++ b/src/cell/planner/mod.rs
@@ -400,6 +400,9 @@
             slog::info!(self.log, "planner: an answer was not received";
                 "agent" => &*agent, "answer" => lost,
                 "report" => report.sequence, "token" => self.claim.token);
+            // Otherwise a start may reach its agent seconds after the starts
+            // of the gang's other members.
+            self.due.insert(agent.clone());
         }
         self.scheduler.apply_report(report, Timestamp::now());
         if let Some(earlier) = self.waiting.insert(agent, waiting) {
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -25,6 +25,7 @@
 mod in_touch;
 mod late_ends;
 mod limits;
+mod lost_answers;
 mod memory;
 mod misdirected;
 mod near;
