Answer an agent that keeps replacing its reports

What callers would see: an agent that reports news more often than once a second was not answered unless its orders changed. Its grant was not renewed, and orders that were lost stayed lost.

Cause: each report that replaced a waiting one began a new wait of 1 s.

Change: a report that replaces a waiting one of the same process keeps the time since which the agent waits.

--- a/src/cell/planner/mod.rs
+++ b/src/cell/planner/mod.rs
@@ -88,6 +88,7 @@
     process: String,
     sequence: u64,
     reply: RpcReplyPort<Answer>,
+    /// When the first report of the process since its last answer arrived.
     since: Instant,
 }
 
@@ -381,16 +382,17 @@
             send_answer(&self.log, reply, Answer::NotPlanner);
             return;
         }
+        let earlier = self.waiting.get(&agent);
+        let earlier = earlier.filter(|e| e.process == report.process);
         let waiting = Waiting {
             process: report.process.clone(),
             sequence: report.sequence,
             reply,
-            since: Instant::now(),
+            // An agent that keeps replacing its reports must be answered, too:
+            // the answer renews its grant.
+            since: earlier.map_or_else(Instant::now, |e| e.since),
         };
-        let overtaken = self.waiting.get(&agent).is_some_and(|newer| {
-            newer.process == waiting.process
-                && newer.sequence > waiting.sequence
-        });
+        let overtaken = earlier.is_some_and(|e| e.sequence > waiting.sequence);
         if overtaken {
             send_answer(&self.log, waiting.reply, Answer::NotPlanner);
             return;
--- a/tests/it/lost_answers.rs
+++ b/tests/it/lost_answers.rs
@@ -110,3 +110,20 @@
     agent.worker.sequence = 0;
     assert_eq!(agent.report().await.map(|o| o.starts.len()), Some(2));
 }
+
+/// Guards against agents whose grants run out although they report: each
+/// report that replaced a waiting one began a new wait.
+#[tokio::test]
+async fn an_agent_that_replaces_its_reports_is_answered() {
+    let store = Memory::default();
+    let entry = Entry::start("entry", &store).await;
+    let mut agent = Agent::connect(&entry).await;
+    let mut answers = 0;
+    for _ in 0..REPORT_COUNT {
+        if agent.report().await.is_some() {
+            agent.received = agent.worker.sequence;
+            answers += 1;
+        }
+    }
+    assert!(answers > 0, "{REPORT_COUNT} reports without an answer");
+}
