Give the start of a gang a deadline

What callers saw: part of a gang ran alone.

Cause: a start in several parts without a deadline. A refusal, a start that an agent retries, a connection that is made anew, a worker without answer or a takeover could each hold one member for longer than the others wait.

Change: the first start that is sent sets the time by which all members must have begun: the gang's wait less the time of a stop and 0.5 s for its way (half of the wait at least). At that time the planner stops a gang of which a member has not begun, unless a member shows work, which takes all of them; the next run avoids the workers that began nothing. Orders carry the time that is left; an agent begins nothing after it, bars the run and reports it as refused (`too late`), with or without a planner. A new planner counts anew for the gangs it inherits. An agent polls its worker at once after a member's start, so that the planner knows of it in time.

Tests: `gang_deadline`, five; with the stop and the agent's deadline taken out four fail (two members end alone where 2 stops are expected; the refusal never comes), the fifth guards gangs that work beside an agent that is cut off.

--- a/src/cell/member/act.rs
+++ b/src/cell/member/act.rs
@@ -34,6 +34,8 @@
     Stop(Call),
     /// The start must wait.
     Wait(Wait),
+    /// The start's deadline has passed.
+    GiveUp(Call),
     /// The order was withdrawn or is carried out.
     Done,
 }
@@ -107,6 +109,9 @@
                     self.log_wait(key, reason, &mut waited);
                     false
                 }
+                Action::GiveUp(call) => {
+                    self.bar_and_refuse(&call, key, Refusal::Late).await
+                }
                 Action::Done => return,
             };
             if done {
@@ -133,6 +138,9 @@
             Some(Phase::Stopping) if view.stops.contains(key) => {
                 return Action::Stop(call);
             }
+            Some(Phase::Starting) if view.is_too_late(key, now) => {
+                return Action::GiveUp(call);
+            }
             Some(Phase::Starting) if view.starts.contains_key(key) => {}
             Some(Phase::Starting | Phase::Stopping) => {
                 // The order was withdrawn. If it is ordered again, it starts
@@ -210,6 +218,11 @@
                 if let Some(phase @ Phase::Starting) = phase {
                     *phase = Phase::Started;
                 }
+                drop(state);
+                if start.begin_within_ms.is_some() {
+                    // The planner must know soon that the member has begun.
+                    self.0.poll_now.notify_one();
+                }
                 true
             }
             Ok(Err(Error::Refused(reason))) => {
--- a/src/cell/member/state.rs
+++ b/src/cell/member/state.rs
@@ -298,6 +298,7 @@
         view.acknowledged = view.acknowledged.max(orders.noted);
         let key = |stop: &Stop| (stop.task.clone(), stop.run);
         view.stops = orders.stops.iter().map(key).collect();
+        view.set_begin_deadlines(&orders.starts, Instant::now());
         let starts = orders.starts.into_iter();
         view.starts = starts.map(|s| ((s.task.clone(), s.run), s)).collect();
         view.take_due()
--- a/src/cell/member/view.rs
+++ b/src/cell/member/view.rs
@@ -118,6 +118,8 @@
     /// acknowledged.
     pub acknowledged: u64,
     pub starts: BTreeMap<Key, Start>,
+    /// When the ordered members of gangs must have begun.
+    pub begin_by: BTreeMap<Key, Instant>,
     pub stops: BTreeSet<Key>,
     pub phases: BTreeMap<Key, Phase>,
     /// The runs that have begun, or may have begun, and whose end is not
@@ -176,6 +178,7 @@
             polls: 0,
             acknowledged: 0,
             starts: BTreeMap::new(),
+            begin_by: BTreeMap::new(),
             stops: BTreeSet::new(),
             phases: BTreeMap::new(),
             begun: BTreeMap::new(),
@@ -381,6 +384,32 @@
         })
     }
 
+    /// Sets the deadlines of ordered starts. The first deadline of a start
+    /// holds when the start is ordered again.
+    pub(super) fn set_begin_deadlines(
+        &mut self,
+        starts: &[Start],
+        now: Instant,
+    ) {
+        let earlier = std::mem::take(&mut self.begin_by);
+        for start in starts {
+            let Some(ms) = start.begin_within_ms else {
+                continue;
+            };
+            let key = (start.task.clone(), start.run);
+            let ordered = now + Duration::from_millis(ms);
+            let begin_by = earlier.get(&key).copied().unwrap_or(ordered);
+            self.begin_by.insert(key, begin_by.min(ordered));
+        }
+    }
+
+    /// Returns whether a start must not be carried out any more.
+    pub(super) fn is_too_late(&self, key: &Key, now: Instant) -> bool {
+        self.begin_by
+            .get(key)
+            .is_some_and(|begin_by| now >= *begin_by)
+    }
+
     /// Returns the orders to act on now, and marks them as being carried out.
     pub(super) fn take_due(&mut self) -> Vec<Key> {
         let wanted = |key: &Key| {
--- a/src/graph/crash.rs
+++ b/src/graph/crash.rs
@@ -90,6 +90,12 @@
         self.ran_for() >= PROVEN_AFTER
     }
 
+    /// Returns whether the share of the member's work that is done was seen to
+    /// grow.
+    pub(super) fn has_progressed(&self) -> bool {
+        self.work.is_some_and(|work| work.observed() > 0.0)
+    }
+
     /// Returns for how long the member is known to have run, up to its last
     /// listing by a worker that answers.
     pub(super) fn ran_for(&self) -> Duration {
--- a/src/graph/gang.rs
+++ b/src/graph/gang.rs
@@ -1,15 +1,19 @@
 //! The common start of a gang's members.
 
+use std::collections::BTreeSet;
 use std::time::Instant;
 
 use crate::graph::job_record::JobRecord;
 use crate::graph::unit::Member;
 use crate::graph::unit::MemberState;
 use crate::graph::unit::Phase;
+use crate::graph::unit::StopReason;
+use crate::graph::AgentId;
 use crate::graph::Decision;
 use crate::graph::MissingMember;
 use crate::graph::Run;
 use crate::graph::Scheduler;
+use crate::graph::Timestamp;
 use crate::graph::UnitKey;
 
 impl JobRecord {
@@ -28,15 +32,32 @@
         };
         key.index.is_none() && is_missing(&members[position])
     }
+
+    /// Returns whether members of a gang have not begun in time, although
+    /// others may have.
+    fn is_late(&self, key: &UnitKey, now: Instant) -> bool {
+        let Some(unit) = self.units.get(key) else {
+            return false;
+        };
+        let done = self.progress.units.get(key).is_some_and(|p| p.done);
+        unit.begin_by.is_some_and(|begin_by| now >= begin_by)
+            && !unit.is_complete
+            && !done
+            && unit.stop_reason.is_none()
+            && matches!(unit.phase, Phase::Running(_))
+            && unit.members().any(is_missing)
+    }
 }
 
 impl Scheduler {
-    /// Records that a gang has begun, once its last member has.
-    pub(super) fn record_gang_begun(&mut self, id: &str, key: &UnitKey) {
-        let Some(record) = self.jobs.get(id) else {
+    /// Records that a gang is complete, once its last member has begun.
+    pub(super) fn note_gang_begun(&mut self, id: &str, key: &UnitKey) {
+        let Some(record) = self.jobs.get_mut(id) else {
             return;
         };
-        let Some(unit) = record.units.get(key) else {
+        let subject = record.subject(key);
+        let run = run_of(record, key);
+        let Some(unit) = record.units.get_mut(key) else {
             return;
         };
         let Phase::Running(members) = &unit.phase else {
@@ -48,12 +69,13 @@
         let (Some(begun), Some(assigned)) = (begun, assigned) else {
             return;
         };
+        unit.is_complete = true;
         let first = begun.iter().min().copied().unwrap_or(assigned);
         let last = begun.iter().max().copied().unwrap_or(assigned);
         let since = |at: Instant| at.saturating_duration_since(assigned);
         let decision = Decision::GangBegan {
-            subject: record.subject(key),
-            run: run_of(record, key),
+            subject,
+            run,
             members: begun.len(),
             first: since(first),
             last: since(last),
@@ -61,6 +83,37 @@
         self.record_decision(decision);
     }
 
+    /// Stops the gangs whose members have not all begun in time, so that none
+    /// of those that have begun waits in vain for the others.
+    pub(super) fn stop_late_gangs(&mut self, now: Timestamp) {
+        let mut late = Vec::new();
+        for record in self.live_jobs() {
+            let units = record.units.iter();
+            let units =
+                units.filter(|(key, _)| record.is_late(key, now.monotonic));
+            let keys = units.map(|(key, _)| (record.job.id.clone(), *key));
+            late.extend(keys);
+        }
+        for (id, key) in late {
+            self.record_missing_members(&id, &key);
+            self.avoid_missing_members(&id, &key);
+            self.stop_unit(&id, &key, StopReason::Late, now);
+        }
+    }
+
+    /// Lets the next run of a gang avoid the workers on which members of this
+    /// one have not begun.
+    fn avoid_missing_members(&mut self, id: &str, key: &UnitKey) {
+        let record = self.jobs.get_mut(id);
+        let Some(unit) = record.and_then(|r| r.units.get_mut(key)) else {
+            return;
+        };
+        let missing = unit.members().filter(|member| is_missing(member));
+        let agents: BTreeSet<AgentId> =
+            missing.map(|member| member.place.agent.clone()).collect();
+        unit.avoided.extend(agents);
+    }
+
     /// Records the members that have not begun, of a gang in which others have
     /// waited in vain.
     pub(super) fn record_missing_members(&mut self, id: &str, key: &UnitKey) {
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -79,6 +79,11 @@
         record.has_losses = units.values().any(|unit| !unit.lost.is_empty());
         for (key, progress) in &units {
             adopt_unit(&mut record, key, progress, now.monotonic);
+            // The members of a gang may have begun long before.
+            if let Some(unit) = record.units.get_mut(key) {
+                let begin_by = now.monotonic + self.options.gang_begin_time();
+                unit.begin_by = key.index.is_none().then_some(begin_by);
+            }
         }
         let members: Vec<(Place, Resources)> = record
             .units
@@ -145,6 +150,7 @@
     /// Applies an agent's report; returns whether the report renewed the
     /// worker's grant.
     pub fn apply_report(&mut self, report: Report, now: Timestamp) -> bool {
+        self.now = now.monotonic;
         let agent = report.agent;
         let (silent, gone) = match report.silent {
             true => (report.gone, None),
@@ -396,8 +402,9 @@
         }
         let whole_time = member.work.and_then(|work| work.whole_time());
         let proven = member.is_proven();
+        unit.is_complete |= working || saved || member.has_progressed();
         if begins {
-            self.record_gang_begun(&running.task.job, &key);
+            self.note_gang_begun(&running.task.job, &key);
         }
         if proven && suspect {
             self.clear_suspicion(&running.task.job, &key);
--- a/src/graph/orders.rs
+++ b/src/graph/orders.rs
@@ -1,6 +1,7 @@
 //! Orders to agents.
 
 use std::collections::BTreeMap;
+use std::time::Instant;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -41,6 +42,10 @@
     /// The client account that the run's use counts for.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub account: Option<SharedStr>,
+    /// For a member of a gang, how long after the receipt of the order the
+    /// member may still begin, in ms.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub begin_within_ms: Option<u64>,
 }
 
 /// A run to stop.
@@ -95,9 +100,13 @@
                 all.insert(agent.clone(), orders);
             }
         }
+        let sending = Sending {
+            now: self.now,
+            begin_by: self.now + self.options.gang_begin_time(),
+        };
         for id in &self.open_jobs {
             if let Some(record) = self.jobs.get_mut(id) {
-                add_orders(record, &self.permissions, &mut all);
+                add_orders(record, &self.permissions, sending, &mut all);
             }
         }
         all
@@ -135,15 +144,26 @@
     }
 }
 
+/// The time at which orders are sent.
+#[derive(Clone, Copy, Debug)]
+struct Sending {
+    now: Instant,
+    /// When the members of a gang must have begun whose first start is sent
+    /// now.
+    begin_by: Instant,
+}
+
 fn add_orders(
     record: &mut JobRecord,
     permissions: &BTreeMap<StepKey, Permission>,
+    sending: Sending,
     all: &mut BTreeMap<AgentId, Orders>,
 ) {
     let mut units = std::mem::take(&mut record.units);
     for (key, unit) in &mut units {
         let step = (record.job.id.clone(), key.time, key.step);
-        add_unit_orders(record, key, unit, permissions.get(&step), all);
+        let permission = permissions.get(&step);
+        add_unit_orders(record, key, unit, permission, sending, all);
     }
     record.units = units;
 }
@@ -153,6 +173,7 @@
     key: &UnitKey,
     unit: &mut Unit,
     permission: Option<&Permission>,
+    sending: Sending,
     all: &mut BTreeMap<AgentId, Orders>,
 ) {
     let Phase::Running(members) = &mut unit.phase else {
@@ -162,6 +183,9 @@
         return;
     };
     let stopped = unit.stop_reason.is_some();
+    let gang = key.index.is_none();
+    let begin_by = unit.begin_by.unwrap_or(sending.begin_by);
+    let begin_within = begin_by.saturating_duration_since(sending.now);
     for member in members.iter_mut() {
         let not_begun = matches!(member.state, MemberState::Ordered(_));
         if member.state == MemberState::Ended || !stopped && !not_begun {
@@ -187,6 +211,7 @@
             }
             MemberState::Ordered(version) if version <= record.written => {
                 member.sent = true;
+                unit.begin_by = gang.then_some(begin_by);
                 orders.starts.push(Start {
                     task,
                     run: progress.run,
@@ -197,6 +222,8 @@
                         .and_then(|permission| permission.ticket(life)),
                     charge: record.job.steps[key.step].charge(),
                     account: Some(record.job.account.clone()),
+                    begin_within_ms: gang
+                        .then_some(begin_within.as_millis() as u64),
                 });
             }
             _ => {}
--- a/src/graph/report.rs
+++ b/src/graph/report.rs
@@ -83,6 +83,8 @@
     Invalid,
     /// The ticket has expired.
     Ticket,
+    /// The start could not be carried out by its deadline.
+    Late,
 }
 
 /// A start that has not happened, and will not.
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -46,6 +46,7 @@
     /// Runs a scheduling pass: decides which units start and stop now.
     pub fn run_pass(&mut self, now: Timestamp) {
         self.changed = false;
+        self.now = now.monotonic;
         let estimated = self.estimate_speeds(now);
         // Both look at all workers, which a large pool at rest must not pay for
         // with each of its reports.
@@ -56,6 +57,7 @@
         self.expire_silent_workers(now);
         self.confirm_overdue(now);
         self.end_broken_gangs(now);
+        self.stop_late_gangs(now);
         self.stop_stuck_runs(now);
         self.stop_before_leaving(now);
         self.withdraw_orders(now);
@@ -468,6 +470,8 @@
         unit.stopped_at = None;
         unit.logged_wait = None;
         unit.break_cause = BreakCause::NoEnds;
+        unit.begin_by = None;
+        unit.is_complete = false;
         let ready = unit.ready_since;
         self.mark_dirty(id);
         for place in &places {
--- a/src/graph/scheduler.rs
+++ b/src/graph/scheduler.rs
@@ -60,6 +60,20 @@
     pub policy: Policy,
 }
 
+/// The time from the decision to stop a run until its workers have received
+/// the stops.
+const STOP_LEAD: Duration = Duration::from_millis(500);
+
+impl Options {
+    /// Returns how long after the first start of a gang was sent its members
+    /// may begin. Those that have begun can then be stopped before they have
+    /// waited in vain for [`Options::gang_wait`].
+    pub(super) fn gang_begin_time(&self) -> Duration {
+        let stops = self.stop_time + STOP_LEAD;
+        self.gang_wait.saturating_sub(stops).max(self.gang_wait / 2)
+    }
+}
+
 impl Default for Options {
     fn default() -> Options {
         Options {
@@ -152,6 +166,8 @@
 #[derive(Clone, Debug)]
 pub struct Scheduler {
     pub(super) options: Options,
+    /// The time of the last event or pass.
+    pub(super) now: Instant,
     /// When this planner claimed the cell. No earlier planner has granted
     /// anything after that time.
     pub(super) claimed_at: Instant,
@@ -206,6 +222,7 @@
     pub fn new(options: Options, now: Timestamp) -> Scheduler {
         Scheduler {
             options,
+            now: now.monotonic,
             claimed_at: now.monotonic,
             workers: BTreeMap::new(),
             past_lives: BTreeMap::new(),
--- a/src/graph/settle.rs
+++ b/src/graph/settle.rs
@@ -69,6 +69,7 @@
                 "refused: order invalid"
             }
             MemberEnd::NeverBegan(Refusal::Ticket) => "refused: leave ran out",
+            MemberEnd::NeverBegan(Refusal::Late) => "refused: too late",
             MemberEnd::WorkerLost => "worker gone",
             MemberEnd::WorkerSilent => "worker silent",
             MemberEnd::Unread => "ended unread",
@@ -152,7 +153,9 @@
                 failed = true;
                 unit.avoided.push(place.agent.clone());
             }
-            MemberEnd::NeverBegan(Refusal::Room | Refusal::Unhealthy) => {
+            MemberEnd::NeverBegan(
+                Refusal::Room | Refusal::Unhealthy | Refusal::Late,
+            ) => {
                 unit.avoided.push(place.agent.clone());
             }
             _ => {}
--- a/src/graph/unit.rs
+++ b/src/graph/unit.rs
@@ -130,6 +130,8 @@
     Preempted,
     /// A member could not start, or has ended.
     Broken,
+    /// A member of the gang had not begun in time.
+    Late,
     /// The run makes no progress.
     Stuck,
     /// The worker leaves before the run would be done.
@@ -147,6 +149,7 @@
             StopReason::Over => "job over",
             StopReason::Preempted => "room for urgent work",
             StopReason::Broken => "member lost",
+            StopReason::Late => "member late",
             StopReason::Stuck => "stuck",
             StopReason::Leaving => "worker leaving",
             StopReason::Shrunk => "worker has shrunk",
@@ -204,6 +207,12 @@
     pub break_cause: BreakCause,
     /// How the current run was interrupted, as far as reported.
     pub interruption: Interruption,
+    /// When all members of the current run must have begun, if the unit is a
+    /// gang and a start was sent.
+    pub begin_by: Option<Instant>,
+    /// Whether all members of the current run were seen to have begun, or one
+    /// of them to work, which takes all of them.
+    pub is_complete: bool,
 }
 
 impl Unit {
@@ -221,6 +230,8 @@
             any_done: false,
             break_cause: BreakCause::NoEnds,
             interruption: Interruption::Stopped,
+            begin_by: None,
+            is_complete: false,
         }
     }
 
--- a/tests/it/graph.rs
+++ b/tests/it/graph.rs
@@ -13,6 +13,8 @@
 use landingvalve::graph::Outcome;
 use landingvalve::graph::PastLife;
 use landingvalve::graph::Policy;
+use landingvalve::graph::Refusal;
+use landingvalve::graph::Refused;
 use landingvalve::graph::Report;
 use landingvalve::graph::Resources;
 use landingvalve::graph::RunOutcome;
@@ -38,6 +40,12 @@
     pub leaving: bool,
     /// Whether the worker no longer answers its agent.
     pub unresponsive: bool,
+    /// Whether the agent carries out no starts, but bars stopped runs.
+    pub holds_starts: bool,
+    /// The runs that are barred because of that.
+    pub refused: Vec<Refused>,
+    /// The load that runs show from their start on.
+    pub load: Option<f64>,
     pub hall: Arc<str>,
     pub capacity: Resources,
     pub labels: Vec<Arc<str>>,
@@ -47,6 +55,8 @@
     pub past_life: Option<PastLife>,
     /// The use by account that the agent reports.
     pub used: Vec<AccountUse>,
+    /// How the runs that ever ended here ended.
+    pub outcomes: Vec<RunOutcome>,
     /// Every run that was ever started here, as `TASK RUN`.
     pub started_runs: Vec<String>,
 }
@@ -65,6 +75,9 @@
             acknowledged: 0,
             leaving: false,
             unresponsive: false,
+            holds_starts: false,
+            refused: Vec::new(),
+            load: None,
             hall: "hall".into(),
             capacity: Resources {
                 memory: 100_000,
@@ -74,6 +87,7 @@
             listed_at: None,
             past_life: None,
             used: Vec::new(),
+            outcomes: Vec::new(),
             started_runs: Vec::new(),
         }
     }
@@ -107,7 +121,7 @@
                     running: self.running.clone(),
                     ended: self.ended.clone(),
                 },
-                refused: Vec::new(),
+                refused: self.refused.clone(),
             }),
         }
     }
@@ -127,7 +141,7 @@
             run: start.run,
             saved: String::new(),
             pace: 100.0,
-            load: None,
+            load: self.load,
         });
     }
 
@@ -143,6 +157,7 @@
         let ended: Vec<Running> = ended;
         for running in ended {
             self.last_end += 1;
+            self.outcomes.push(outcome);
             self.ended.push(Ended {
                 number: self.last_end,
                 task: running.task,
@@ -158,9 +173,18 @@
         if self.unresponsive {
             return;
         }
-        for start in &orders.starts {
+        let starts = orders.starts.iter().filter(|_| !self.holds_starts);
+        for start in Vec::from_iter(starts) {
             self.start(start);
         }
+        let held = orders.stops.iter().filter(|_| self.holds_starts);
+        self.refused = held
+            .map(|stop| Refused {
+                task: stop.task.clone(),
+                run: stop.run,
+                why: Refusal::Barred,
+            })
+            .collect();
         for stop in &orders.stops {
             let same = |r: &Running| r.task == stop.task && r.run == stop.run;
             self.end(RunOutcome::Stopped, same);
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -15,6 +15,7 @@
 mod examples;
 mod explain;
 mod explore;
+mod gang_deadline;
 mod gang_steps;
 mod goodbyes;
 mod graph;
--- a/tests/it/ordered.rs
+++ b/tests/it/ordered.rs
@@ -23,6 +23,7 @@
 use landingvalve::graph::Life;
 use landingvalve::graph::Options;
 use landingvalve::graph::Orders;
+use landingvalve::graph::Refusal;
 use landingvalve::graph::Report;
 use landingvalve::graph::Resources;
 use landingvalve::graph::Speed;
@@ -135,6 +136,15 @@
         until(what, last).await
     }
 
+    /// Waits until a report refuses a run; returns why.
+    pub async fn wait_for_refusal(&self) -> Refusal {
+        let refusal = |report: &Report| {
+            let worker = report.worker.as_ref()?;
+            worker.refused.first().map(|refused| refused.why)
+        };
+        self.wait_for_report("the run is refused", refusal).await
+    }
+
     /// Waits until an agent has received the present orders.
     async fn wait_until_received(&self) {
         let before = self.lock().report_count;
@@ -215,6 +225,7 @@
         ticket: None,
         charge: Resources::default(),
         account: None,
+        begin_within_ms: None,
     }
 }
 
@@ -231,14 +242,6 @@
     planner.wait_for_report("the worker is known", known).await;
 }
 
-async fn wait_until_refused(planner: &Planner) {
-    let refused = |report: &Report| {
-        let worker = report.worker.as_ref()?;
-        (!worker.refused.is_empty()).then_some(())
-    };
-    planner.wait_for_report("the run is refused", refused).await;
-}
-
 async fn wait_until_lost(worker: &FakeWorker, count: u32) {
     let lost =
         || async { (worker.unanswered_starts() >= count).then_some(()) };
@@ -286,7 +289,7 @@
     wait_until_quiet(&worker).await;
     agent.member.heartbeat(leaving(&worker, 2));
     planner.order(&worker, vec![start(0)]);
-    wait_until_refused(&planner).await;
+    planner.wait_for_refusal().await;
     worker.execute_late_starts();
     assert_eq!(
         worker.started(),
@@ -345,7 +348,7 @@
     first.kill();
     let second = planner.agent(&store, &worker);
     second.member.heartbeat(leaving(&worker, 2));
-    wait_until_refused(&planner).await;
+    planner.wait_for_refusal().await;
     worker.execute_late_starts();
     assert_eq!(
         worker.started(),
