Simulation: check that no run ends alone without excuse

The simulated workers ended members `alone`, and nothing checked the users' rule GANG. Each end `alone` is now a violation unless a cancel of its job was sent before, a fault was near (its whole duration and 3 s after it, at any time from the first member's start to the end), or the worker carried out the start late. The report counts both kinds.

--- a/crates/landingvalve-sim/src/day.rs
+++ b/crates/landingvalve-sim/src/day.rs
@@ -31,6 +31,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::gang::AloneCounts;
 use crate::invariants::Checker;
 use crate::lock;
 use crate::network::Network;
@@ -130,6 +131,8 @@
     pub starts: u64,
     /// Number of these starts whose task had been listed as done before.
     pub repeated_starts: u64,
+    /// Numbers of runs that ended `alone`.
+    pub alone: AloneCounts,
     /// Number of accepted jobs.
     pub accepted: usize,
     /// Number of times that each fault was injected.
@@ -259,6 +262,7 @@
             violations,
             starts,
             repeated_starts: self.checker.repeated_starts(),
+            alone: self.checker.alone_counts(),
             accepted,
             faults: self.faults,
             timeline: self.checker.timeline(),
@@ -471,11 +475,17 @@
             if !self.agents[at].endpoint.is_up() && !is_scheduled {
                 let ms = self.random.u64(..3000);
                 let restart_at = now + Duration::from_millis(ms);
-                self.pending_undos.push((restart_at, Undo::Up(at)));
+                self.begin_fault(restart_at, Undo::Up(at));
             }
         }
     }
 
+    /// Records that a fault is active, and when it is undone.
+    fn begin_fault(&mut self, until: Instant, undo: Undo) {
+        self.checker.begin_fault();
+        self.pending_undos.push((until, undo));
+    }
+
     /// Lets a worker say goodbye, or lets the goodbye of an earlier birth
     /// arrive. A goodbye is at times not received.
     fn say_goodbye(&mut self, now: Instant) {
@@ -496,8 +506,10 @@
         if let (Some(member), true) = (&agent.member, is_received) {
             member.worker_left(&name);
         }
-        if leaves {
-            self.pending_undos.push((now + stay, Undo::Leave(at)));
+        self.checker.begin_fault();
+        match leaves {
+            true => self.pending_undos.push((now + stay, Undo::Leave(at))),
+            false => self.checker.end_fault(),
         }
     }
 
@@ -526,7 +538,7 @@
         *self.faults.entry("failures behind a cut").or_default() += 1;
         self.checker
             .record(format!("fault: failures behind a cut, {undo:?}"));
-        self.pending_undos.push((end, undo));
+        self.begin_fault(end, undo);
     }
 
     fn send_heartbeats(&mut self) {
@@ -617,6 +629,7 @@
                 continue;
             }
             self.checker.record(format!("over: {undo:?}"));
+            self.checker.end_fault();
             match undo {
                 Undo::Entry(at) => {
                     self.kill_entry(at);
@@ -664,12 +677,12 @@
                 for at in 0..self.entries.len() {
                     self.kill_entry(at);
                     let restart_at = now + Duration::from_millis(short_ms);
-                    self.pending_undos.push((restart_at, Undo::Entry(at)));
+                    self.begin_fault(restart_at, Undo::Entry(at));
                 }
                 for at in 0..self.agents.len() {
                     self.kill_agent(at);
                     let restart_at = now + Duration::from_millis(short_ms);
-                    self.pending_undos.push((restart_at, Undo::Agent(at)));
+                    self.begin_fault(restart_at, Undo::Agent(at));
                 }
                 ("kill all", Undo::Entry(0), short_ms)
             }
@@ -695,8 +708,7 @@
         *self.faults.entry(name).or_default() += 1;
         let line = format!("fault: {name}, {undo:?} after {ms} ms");
         self.checker.record(line);
-        self.pending_undos
-            .push((now + Duration::from_millis(ms), undo));
+        self.begin_fault(now + Duration::from_millis(ms), undo);
     }
 
     fn draw_store_fault(&mut self) -> (&'static str, store::Faults) {
@@ -828,6 +840,7 @@
                 .cancel_after
                 .is_some_and(|after| accepted_at.elapsed() >= after)
             {
+                self.checker.record_cancel_sent(&id);
                 let cancelled = admission.cancel(&id, deadline);
                 let result =
                     tokio::time::timeout(CALL_TIMEOUT, cancelled).await;
@@ -854,6 +867,7 @@
         while Instant::now() < self.until {
             if let Some(admission) = self.pick_admission() {
                 let deadline = Instant::now() + CALL_TIMEOUT;
+                self.checker.record_cancel_sent(&id);
                 let cancelled = admission.cancel(&id, deadline);
                 let result =
                     tokio::time::timeout(CALL_TIMEOUT, cancelled).await;
--- a/crates/landingvalve-sim/src/invariants.rs
+++ b/crates/landingvalve-sim/src/invariants.rs
@@ -15,6 +15,8 @@
 use landingvalve::graph::Task;
 use tokio::time::Instant;
 
+use crate::gang::AloneCounts;
+use crate::gang::Gangs;
 use crate::lock;
 
 /// Time after the acknowledgment of a cancel during which a task may still
@@ -82,6 +84,7 @@
     uncounted: BTreeSet<(Key, String)>,
     /// Outcomes that callers have been shown.
     reported: BTreeMap<JobId, Outcome>,
+    gangs: Gangs,
     starts: u64,
     violations: Vec<String>,
     timeline: Vec<String>,
@@ -124,6 +127,21 @@
         data.cancelled.entry(id.clone()).or_insert(Instant::now());
     }
 
+    /// Records that a caller sends a cancel, whether or not it is answered.
+    pub fn record_cancel_sent(&self, id: &JobId) {
+        lock(&self.0).gangs.record_cancel_sent(id, Instant::now());
+    }
+
+    /// Records that a fault begins.
+    pub fn begin_fault(&self) {
+        lock(&self.0).gangs.begin_fault(Instant::now());
+    }
+
+    /// Records that a fault is over.
+    pub fn end_fault(&self) {
+        lock(&self.0).gangs.end_fault(Instant::now());
+    }
+
     /// Records the stage of a job that its caller was shown, `None` if the job
     /// was unknown, and checks that it fits the stages shown before.
     pub fn record_stage(&self, id: &JobId, stage: Option<Stage>) {
@@ -158,6 +176,7 @@
         let mut data = lock(&self.0);
         let (task, run) = key;
         data.record(format!("{task} run {run} begins on {life}: {when:?}"));
+        data.gangs.record_start(key, when, Instant::now());
         if when == When::LaterBirth {
             data.uncounted.insert((key.clone(), life.to_owned()));
             return;
@@ -195,6 +214,7 @@
                 let runs = data.failed.entry(task.clone()).or_default();
                 runs.insert(*run);
             }
+            Some(RunOutcome::Alone) => data.check_alone(key),
             Some(_) => {}
             None => {
                 data.crashes.entry(task.clone()).or_default().0 += 1;
@@ -281,6 +301,11 @@
         lock(&self.0).repeated_starts
     }
 
+    /// Returns the numbers of ends `alone`.
+    pub fn alone_counts(&self) -> AloneCounts {
+        lock(&self.0).gangs.counts()
+    }
+
     /// Returns the timeline: one line per event, in order, each after its time
     /// in ms.
     pub fn timeline(&self) -> Vec<String> {
@@ -301,6 +326,22 @@
         self.violations.push(line);
     }
 
+    /// Checks that a run may end alone.
+    fn check_alone(&mut self, key: &Key) {
+        let (task, run) = key;
+        match self.gangs.record_alone(key, Instant::now()) {
+            Some(excuse) => {
+                self.record(format!(
+                    "{task} run {run} is excused: {excuse:?}"
+                ));
+            }
+            None => {
+                let line = format!("GANG: {task} run {run} ends alone");
+                self.record_violation(line);
+            }
+        }
+    }
+
     fn check_start(&mut self, (task, run): &Key, when: When) {
         let now = Instant::now();
         let Some(job) = self.jobs.get(&task.job).cloned() else {
--- a/crates/landingvalve-sim/src/lib.rs
+++ b/crates/landingvalve-sim/src/lib.rs
@@ -13,6 +13,7 @@
 //! time, so run a failing seed several times.
 
 pub mod day;
+pub mod gang;
 pub mod invariants;
 pub mod network;
 pub mod store;
--- a/crates/landingvalve-sim/src/main.rs
+++ b/crates/landingvalve-sim/src/main.rs
@@ -8,6 +8,7 @@
 use clap::Parser;
 use landingvalve_sim::day;
 use landingvalve_sim::day::Scenario;
+use landingvalve_sim::gang::AloneCounts;
 
 /// Simulates days of the real code under virtual time and checks the
 /// invariants.
@@ -54,6 +55,7 @@
     let mut faults: BTreeMap<&str, u32> = BTreeMap::new();
     let mut starts = 0;
     let mut repeated_starts = 0;
+    let mut alone = AloneCounts::default();
     for seed in args.seed..args.seed + args.days {
         let report = day::simulate(Scenario {
             seed,
@@ -66,6 +68,8 @@
         });
         starts += report.starts;
         repeated_starts += report.repeated_starts;
+        alone.excused += report.alone.excused;
+        alone.violations += report.alone.violations;
         for (name, count) in report.faults {
             *faults.entry(name).or_default() += count;
         }
@@ -84,9 +88,12 @@
     let elapsed = start.elapsed();
     println!(
         "{} days in {:.1} s, {starts} starts, {repeated_starts} of them of what was \
-         listed as done, {violating_days} broke a promise, faults {faults:?}",
+         listed as done, {} runs ended alone and are excused, {} and are not, \
+         {violating_days} broke a promise, faults {faults:?}",
         args.days,
         elapsed.as_secs_f64(),
+        alone.excused,
+        alone.violations,
     );
     match violating_days {
         0 => ExitCode::SUCCESS,
