Soak: gangs, and the check that no run ends alone without excuse

The soak submitted no gangs. Half of its steps are gangs of 2 to 4 now; the workers, which are in one process, know who is present: a gang works once all members are, a member that has waited 3 s ends `alone`, and all end together. Workers list the share of work that is done. A step of a gang is done once one member is.

`--sound-seconds` begins each run with a stretch on which only the configuration changes and more jobs are cancelled. Not drawn there: guarantees, closed halls, hopeless jobs and workers that join.

A submission takes steps instead of numbers of tasks, and a start its run, so `tests/invariants.rs` passes those; it checks what it did.

--- a/crates/landingvalve-soak/src/callers.rs
+++ b/crates/landingvalve-soak/src/callers.rs
@@ -15,6 +15,7 @@
 
 use crate::invariants::Checker;
 use crate::invariants::JobId;
+use crate::invariants::Step;
 use crate::worker;
 
 /// The value of the header `host` in all calls.
@@ -30,6 +31,9 @@
 /// The pause between two attempts of a submission.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// How long a task works, in ms.
+const WORK_MS: std::ops::Range<u64> = 50..900;
+
 /// A caller, who sends each call to a random entry.
 #[derive(Clone, Debug)]
 pub struct Caller {
@@ -68,17 +72,19 @@
     /// accepted; returns the job.
     pub async fn submit(&self, random: &mut fastrand::Rng) -> JobId {
         let job = format!("{:016x}", random.u64(..));
-        let steps: Vec<u32> = (0..random.usize(1..=2))
-            .map(|_| random.u32(1..=3))
+        let steps: Vec<Step> = (0..random.usize(1..=2))
+            .map(|_| draw_step(random))
             .collect();
         let accelerators = [1, 2, 4][random.usize(..3)];
-        let step = |(index, tasks): (usize, &u32)| {
-            json!({"replicas": tasks, "cpu": 1000, "memMb": 1000,
+        let step = |(index, step): (usize, &Step)| {
+            json!({"replicas": step.tasks, "cpu": 1000, "memMb": 1000,
                    "gpu": accelerators, "estimateMs": 300,
+                   "gang": step.gang,
                    "dependsOn": (0..index).collect::<Vec<_>>()})
         };
+        let ms = random.u64(WORK_MS);
         let body = json!({
-            "spec": worker::spec(random.u64(50..900), accelerators),
+            "spec": worker::spec(ms, accelerators, &steps),
             "steps": steps.iter().enumerate().map(step).collect::<Vec<_>>(),
         });
         self.checker.record_submission(&job, steps);
@@ -122,3 +128,17 @@
         }
     }
 }
+
+/// Draws a step: single tasks, or as often a gang.
+fn draw_step(random: &mut fastrand::Rng) -> Step {
+    match random.bool() {
+        true => Step {
+            tasks: random.u32(2..=4),
+            gang: true,
+        },
+        false => Step {
+            tasks: random.u32(1..=3),
+            gang: false,
+        },
+    }
+}
--- a/crates/landingvalve-soak/src/faults.rs
+++ b/crates/landingvalve-soak/src/faults.rs
@@ -41,6 +41,14 @@
     Configure(usize),
 }
 
+impl Fault {
+    /// Returns whether the fault impairs anything: operators may change the
+    /// configuration at any time.
+    pub fn is_impairment(self) -> bool {
+        !matches!(self, Fault::Configure(_))
+    }
+}
+
 /// A fault with its times.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Injection {
--- a/crates/landingvalve-soak/src/invariants.rs
+++ b/crates/landingvalve-soak/src/invariants.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
+use crate::gang::Excuses;
 use crate::lock;
 
 /// How long after an acknowledged cancel a task of the job may still be
@@ -23,11 +24,19 @@
 /// The name of a worker's life.
 pub type Life = String;
 
+/// A step of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// The number of its tasks.
+    pub tasks: u32,
+    /// Whether its tasks work only together.
+    pub gang: bool,
+}
+
 /// A job as its callers observe it.
 #[derive(Debug, Default)]
 struct Job {
-    /// The number of tasks of each step.
-    steps: Vec<u32>,
+    steps: Vec<Step>,
     accepted: bool,
     /// Whether a submission had no clear reply.
     unsure: bool,
@@ -52,6 +61,7 @@
     done: BTreeSet<TaskId>,
     /// Successful tasks whose end was acknowledged to the worker.
     acknowledged: BTreeSet<TaskId>,
+    excuses: Excuses,
     violations: Vec<String>,
     counts: Counts,
 }
@@ -71,6 +81,11 @@
     pub starts: u64,
     /// Ends of tasks with success.
     pub done: u64,
+    /// Ends of gangs' members that had waited for others in vain, and that the
+    /// users' rule excuses.
+    pub alone_excused: u64,
+    /// The same without excuse, which are violations.
+    pub alone: u64,
 }
 
 /// The checker of the invariants; clones share their observations.
@@ -87,17 +102,20 @@
         self.violations.push(format!("{rule}: {details}"));
     }
 
-    fn step_done(&self, job: &str, step: usize, tasks: u32) -> bool {
+    /// Returns whether a step is done: a gang is once one of its members is.
+    fn step_done(&self, job: &str, index: usize, step: Step) -> bool {
         let is_done =
-            |index| self.done.contains(&format!("{job}.0.{step}.{index}"));
-        (0..tasks).all(is_done)
+            |task| self.done.contains(&format!("{job}.0.{index}.{task}"));
+        match step.gang {
+            true => (0..step.tasks).any(is_done),
+            false => (0..step.tasks).all(is_done),
+        }
     }
 }
 
 impl Checker {
-    /// Records that a caller is about to submit a job; `steps` holds the
-    /// number of tasks of each step.
-    pub fn record_submission(&self, job: &str, steps: Vec<u32>) {
+    /// Records that a caller is about to submit a job.
+    pub fn record_submission(&self, job: &str, steps: Vec<Step>) {
         let mut seen = lock(&self.0);
         seen.jobs.entry(job.to_owned()).or_insert(Job {
             steps,
@@ -172,7 +190,7 @@
         let unfinished = steps
             .iter()
             .enumerate()
-            .any(|(step, tasks)| !seen.step_done(id, step, *tasks));
+            .any(|(index, step)| !seen.step_done(id, index, *step));
         match state {
             None if accepted => {
                 seen.add_violation("LOST", format!("{id} is unknown"));
@@ -199,9 +217,10 @@
 
     /// Records that a worker started a task; `late` if a fault delayed the
     /// order on its way, so that it may arrive after a cancel.
-    pub fn record_start(&self, task: &str, life: &str, late: bool) {
+    pub fn record_start(&self, task: &str, run: u32, life: &str, late: bool) {
         let mut seen = lock(&self.0);
         seen.counts.starts += 1;
+        seen.excuses.record_start(task, run, late, Instant::now());
         let mut parts = task.split('.');
         let id = parts.next().unwrap_or_default().to_owned();
         let step = parts.nth(1).and_then(|step| step.parse().ok());
@@ -236,8 +255,8 @@
                 }
                 let earlier = steps.iter().enumerate().take(step);
                 let unfinished = earlier
-                    .filter(|(index, tasks)| {
-                        !seen.step_done(&id, *index, **tasks)
+                    .filter(|(index, step)| {
+                        !seen.step_done(&id, *index, **step)
                     })
                     .count();
                 if unfinished > 0 {
@@ -255,6 +274,34 @@
         lives.insert(life.to_owned());
     }
 
+    /// Records that a fault begins.
+    pub fn begin_fault(&self) {
+        lock(&self.0).excuses.begin_fault(Instant::now());
+    }
+
+    /// Records that a fault is over.
+    pub fn end_fault(&self) {
+        lock(&self.0).excuses.end_fault(Instant::now());
+    }
+
+    /// Records that a member of a gang ends because others did not come, and
+    /// checks that it may.
+    pub fn record_alone(&self, task: &str, run: u32) {
+        let mut seen = lock(&self.0);
+        let job = task.split('.').next().unwrap_or_default();
+        let job = seen.jobs.get(job);
+        let cancel_sent = job.is_some_and(|job| job.cancel_sent);
+        let now = Instant::now();
+        match seen.excuses.find(task, run, cancel_sent, now) {
+            Some(_) => seen.counts.alone_excused += 1,
+            None => {
+                seen.counts.alone += 1;
+                let details = format!("{task} run {run} ends alone");
+                seen.add_violation("GANG", details);
+            }
+        }
+    }
+
     /// Records that a task ended at a worker; `done` if with success.
     pub fn record_end(&self, task: &str, life: &str, done: bool) {
         let mut seen = lock(&self.0);
--- a/crates/landingvalve-soak/src/lib.rs
+++ b/crates/landingvalve-soak/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod callers;
 pub mod faults;
 pub mod fleet;
+pub mod gang;
 pub mod invariants;
 pub mod operators;
 pub mod soak;
--- a/crates/landingvalve-soak/src/main.rs
+++ b/crates/landingvalve-soak/src/main.rs
@@ -25,6 +25,10 @@
     /// For how many seconds faults are injected in each run.
     #[arg(long, default_value_t = 20)]
     seconds: u64,
+    /// For how many seconds each run is sound before its faults: only the
+    /// configuration changes and jobs are cancelled.
+    #[arg(long, default_value_t = 0)]
+    sound_seconds: u64,
     /// The number of entries.
     #[arg(long, default_value_t = 3)]
     entries: usize,
@@ -48,6 +52,7 @@
             folder: folder.clone(),
             seed,
             faults_for: Duration::from_secs(args.seconds),
+            sound_for: Duration::from_secs(args.sound_seconds),
             entries: args.entries,
             workers: args.workers,
         });
--- a/crates/landingvalve-soak/src/soak.rs
+++ b/crates/landingvalve-soak/src/soak.rs
@@ -18,6 +18,7 @@
 use crate::faults::Injection;
 use crate::fleet::free_address;
 use crate::fleet::Program;
+use crate::gang::Registry;
 use crate::invariants::Checker;
 use crate::invariants::Counts;
 use crate::invariants::JobId;
@@ -39,6 +40,34 @@
 /// The number of open jobs at which no more jobs are submitted.
 const MAX_OPEN_JOBS: usize = 40;
 
+/// The time from one change of the configuration to the next while there are
+/// no faults.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(1500);
+/// The numbers of idle queues of these configurations.
+const IDLE_QUEUES: [usize; 2] = [0, 500];
+
+/// What callers do in a round.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Traffic {
+    /// They submit, query and at times cancel.
+    Usual,
+    /// The same, and they cancel more often.
+    ManyCancels,
+    /// They only query.
+    Queries,
+}
+
+impl Traffic {
+    /// Returns the number of queries of which one is a cancel.
+    fn cancel_interval(self) -> Option<u32> {
+        match self {
+            Traffic::Usual => Some(12),
+            Traffic::ManyCancels => Some(5),
+            Traffic::Queries => None,
+        }
+    }
+}
+
 /// The configuration of a run.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -52,6 +81,9 @@
     pub seed: u64,
     /// For how long faults are injected.
     pub faults_for: Duration,
+    /// For how long, before the faults, only the configuration changes and
+    /// jobs are cancelled.
+    pub sound_for: Duration,
     /// The number of entries.
     pub entries: usize,
     /// The number of workers, each with an agent.
@@ -83,6 +115,9 @@
     fault_random: fastrand::Rng,
     /// The generator of the callers' actions.
     caller_random: fastrand::Rng,
+    /// The generator of changes while there are no faults.
+    sound_random: fastrand::Rng,
+    gangs: Registry,
     store: Store,
     operators: Operators,
     workers: Vec<Worker>,
@@ -108,13 +143,14 @@
 pub async fn run(config: Config) -> eyre::Result<Report> {
     std::fs::create_dir_all(&config.folder)?;
     let mut soak = Soak::start(config).await?;
+    soak.run_soundly().await?;
     let faults_until = Instant::now() + soak.config.faults_for;
     let mut next_fault = Instant::now() + Duration::from_secs(1);
     while Instant::now() < faults_until {
         if Instant::now() >= next_fault {
             next_fault = Instant::now() + soak.inject_fault()?;
         }
-        soak.run_round(true).await?;
+        soak.run_round(Traffic::Usual).await?;
     }
     let settled = soak.settle().await?;
     Ok(soak.report(settled))
@@ -131,6 +167,8 @@
         let mut soak = Soak {
             fault_random: fastrand::Rng::with_seed(config.seed),
             caller_random: fastrand::Rng::with_seed(config.seed),
+            sound_random: fastrand::Rng::with_seed(config.seed),
+            gangs: Registry::default(),
             store,
             operators,
             workers: Vec::new(),
@@ -167,7 +205,8 @@
     ) -> eyre::Result<()> {
         let name = format!("w{at}");
         let seed = self.config.seed + 1 + at as u64;
-        let worker = Worker::new(&name, seed, checker.clone());
+        let gangs = self.gangs.clone();
+        let worker = Worker::new(&name, seed, gangs, checker.clone());
         let server =
             Server::start(free_address()?, worker.clone().into()).await?;
         let agent = free_address()?;
@@ -225,6 +264,32 @@
         Program::new(name, path, &self.config.folder, settings)
     }
 
+    /// Runs the fleet without faults, while the configuration changes and jobs
+    /// are cancelled.
+    async fn run_soundly(&mut self) -> eyre::Result<()> {
+        if self.config.sound_for.is_zero() {
+            return Ok(());
+        }
+        // The fleet has been started just now.
+        self.caller.checker.begin_fault();
+        self.caller.checker.end_fault();
+        let until = Instant::now() + self.config.sound_for;
+        let mut next_change = Instant::now() + CHANGE_INTERVAL;
+        while Instant::now() < until {
+            if Instant::now() >= next_change {
+                next_change = Instant::now() + CHANGE_INTERVAL;
+                let idle = IDLE_QUEUES[self.sound_random.usize(..2)];
+                self.operators.write_next_version(idle);
+                *self
+                    .fault_counts
+                    .entry("SoundConfigure".to_owned())
+                    .or_default() += 1;
+            }
+            self.run_round(Traffic::ManyCancels).await?;
+        }
+        Ok(())
+    }
+
     /// Draws and injects a fault; returns the time until the next fault.
     fn inject_fault(&mut self) -> eyre::Result<Duration> {
         let (entries, workers) = (self.entries.len(), self.workers.len());
@@ -255,6 +320,9 @@
             Fault::Forget => self.store.discard_history(),
             Fault::Configure(idle) => self.operators.write_next_version(idle),
         }
+        if fault.is_impairment() {
+            self.caller.checker.begin_fault();
+        }
         self.active_faults.push((fault, Instant::now() + duration));
         Ok(next_after)
     }
@@ -269,6 +337,9 @@
         self.active_faults = active;
         let ended: Vec<(Fault, Instant)> = ended;
         for (fault, _) in ended {
+            if fault.is_impairment() {
+                self.caller.checker.end_fault();
+            }
             match fault {
                 Fault::KillEntry(index) => self.entries[index].start()?,
                 Fault::PauseEntry(index) => {
@@ -296,6 +367,8 @@
         let programs = self.entries.iter_mut().chain(&mut self.agents);
         for program in programs {
             if program.has_ended() {
+                self.caller.checker.begin_fault();
+                self.caller.checker.end_fault();
                 program.start()?;
             }
         }
@@ -303,13 +376,14 @@
     }
 
     /// Starts the calls of a round, which may overlap with those of other
-    /// rounds: a query of a job and a probe of the configuration and, only
-    /// with `under_faults`, a submission and at times a cancel instead of the
-    /// query. Without `under_faults` all active faults are ended first.
-    async fn run_round(&mut self, under_faults: bool) -> eyre::Result<()> {
-        self.end_faults(!under_faults)?;
+    /// rounds: a query of a job and a probe of the configuration and, unless
+    /// nothing new is wanted, a submission and at times a cancel instead of the
+    /// query. If nothing new is wanted, all active faults are ended first.
+    async fn run_round(&mut self, traffic: Traffic) -> eyre::Result<()> {
+        let is_over = traffic == Traffic::Queries;
+        self.end_faults(is_over)?;
         let open = self.caller.checker.open_jobs();
-        if under_faults && open.len() < MAX_OPEN_JOBS {
+        if !is_over && open.len() < MAX_OPEN_JOBS {
             let caller = self.caller.clone();
             let mut random = self.caller_random.fork();
             self.tasks.push(tokio::spawn(async move {
@@ -318,7 +392,10 @@
         }
         if let Some(job) = self.pick_job(&open) {
             let caller = self.caller.clone();
-            let cancel = under_faults && self.caller_random.u32(..12) == 0;
+            let cancel = match traffic.cancel_interval() {
+                Some(interval) => self.caller_random.u32(..interval) == 0,
+                None => false,
+            };
             self.tasks.push(tokio::spawn(async move {
                 match cancel {
                     true => caller.cancel(&job).await,
@@ -352,7 +429,7 @@
     async fn settle(&mut self) -> eyre::Result<Option<Duration>> {
         let start = Instant::now();
         while start.elapsed() < SETTLE_TIMEOUT {
-            self.run_round(false).await?;
+            self.run_round(Traffic::Queries).await?;
             for job in self.caller.checker.open_jobs() {
                 self.caller.query(&job).await;
             }
--- a/crates/landingvalve-soak/src/worker.rs
+++ b/crates/landingvalve-soak/src/worker.rs
@@ -19,8 +19,12 @@
 use serde_json::Value;
 use tokio::time::Instant;
 
+use crate::gang;
+use crate::gang::Registry;
+use crate::gang::Stage;
 use crate::invariants::Checker;
 use crate::invariants::Life;
+use crate::invariants::Step;
 use crate::invariants::TaskId;
 use crate::lock;
 
@@ -53,7 +57,11 @@
 struct Running {
     run: u32,
     accelerators: i64,
-    ends_at: Instant,
+    /// How long the task works.
+    work: Duration,
+    started: Instant,
+    /// Whether the task works only together with others.
+    gang: bool,
 }
 
 struct Ended {
@@ -89,6 +97,8 @@
     last_end_before_expiry: u64,
     /// The highest run of each task that must not be started again.
     barred: BTreeMap<TaskId, u32>,
+    /// The gangs' members at all workers.
+    gangs: Registry,
     checker: Checker,
 }
 
@@ -111,10 +121,13 @@
     wait_ms: u64,
 }
 
-/// Returns the specification of a task with a run time in ms and a number of
-/// accelerators.
-pub fn spec(ms: u64, accelerators: i64) -> String {
-    format!("{ms} {accelerators}")
+/// Returns the specification of a job whose tasks have a run time in ms and a
+/// number of accelerators.
+pub fn spec(ms: u64, accelerators: i64, steps: &[Step]) -> String {
+    let width = |step: &Step| if step.gang { step.tasks } else { 0 };
+    let widths = steps.iter().map(|step| width(step).to_string());
+    let widths: Vec<String> = widths.collect();
+    format!("{ms} {accelerators} {}", widths.join(" "))
 }
 
 /// Returns the present time in ms since 1970.
@@ -130,7 +143,12 @@
 impl Worker {
     /// Returns a worker without tasks. The seed determines which calls a fault
     /// delays; with an even seed every life has the same name.
-    pub fn new(name: &str, seed: u64, checker: Checker) -> Worker {
+    pub fn new(
+        name: &str,
+        seed: u64,
+        gangs: Registry,
+        checker: Checker,
+    ) -> Worker {
         let now = Instant::now();
         Worker(Arc::new(Mutex::new(State {
             mode: Mode::default(),
@@ -148,6 +166,7 @@
             last_end: 0,
             last_end_before_expiry: 0,
             barred: BTreeMap::new(),
+            gangs,
             checker,
         })))
     }
@@ -161,8 +180,9 @@
     pub fn crash(&self) {
         let mut state = lock(&self.0);
         let life = state.life();
-        for task in state.running.keys() {
+        for (task, running) in &state.running {
             state.checker.record_end(task, &life, false);
+            state.gangs.leave(task, running.run, None);
         }
         state.running.clear();
         state.ended.clear();
@@ -246,19 +266,18 @@
     /// Ends the tasks that are due, and all tasks if the lease has expired.
     fn update_tasks(&mut self, now: Instant) {
         let lease_expired = now >= self.lease_expiry;
-        let fails = self.mode.fails;
-        let due: Vec<TaskId> = self
+        let due: Vec<(TaskId, &'static str)> = self
             .running
             .iter()
-            .filter(|(_, running)| lease_expired || now >= running.ends_at)
-            .map(|(task, _)| task.clone())
+            .filter_map(|(task, running)| {
+                let outcome = match lease_expired {
+                    true => "lapsed",
+                    false => self.due_outcome(task, running, now)?,
+                };
+                Some((task.clone(), outcome))
+            })
             .collect();
-        for task in due {
-            let outcome = match (lease_expired, fails) {
-                (true, _) => "lapsed",
-                (false, true) => "failed",
-                (false, false) => "done",
-            };
+        for (task, outcome) in due {
             self.end_task(&task, outcome);
         }
         if lease_expired {
@@ -266,12 +285,58 @@
         }
     }
 
+    /// Returns how a task ends now, or `None` if it runs on.
+    fn due_outcome(
+        &self,
+        task: &str,
+        running: &Running,
+        now: Instant,
+    ) -> Option<&'static str> {
+        let since = match self.stage(task, running) {
+            Stage::Ending(outcome) => return Some(outcome),
+            Stage::Waiting if now > running.started + gang::WAIT => {
+                return Some("alone");
+            }
+            Stage::Waiting => return None,
+            Stage::Working(since) => since,
+        };
+        match self.mode.fails {
+            _ if now < since + running.work => None,
+            true => Some("failed"),
+            false => Some("done"),
+        }
+    }
+
+    fn stage(&self, task: &str, running: &Running) -> Stage {
+        match running.gang {
+            true => self.gangs.stage(task, running.run),
+            false => Stage::Working(running.started),
+        }
+    }
+
+    /// Returns the share of a task's work that is done, in percent.
+    fn progress(&self, task: &str, running: &Running) -> f64 {
+        match self.stage(task, running) {
+            Stage::Working(since) => {
+                let share = since.elapsed().div_duration_f64(running.work);
+                (100.0 * share).clamp(0.0, 100.0).round()
+            }
+            Stage::Waiting | Stage::Ending(_) => 0.0,
+        }
+    }
+
     fn end_task(&mut self, task: &str, outcome: &'static str) {
         let Some(running) = self.running.remove(task) else {
             return;
         };
         self.last_end += 1;
         self.barred.insert(task.to_owned(), running.run);
+        if running.gang {
+            self.gangs.leave(task, running.run, Some(outcome));
+        }
+        if outcome == "alone" {
+            self.checker.record_alone(task, running.run);
+        }
         self.checker
             .record_end(task, &self.life(), outcome == "done");
         self.ended.push(Ended {
@@ -325,16 +390,28 @@
         let mut next = || numbers.next().and_then(|n| n.parse().ok());
         let ms: u64 = next().unwrap_or(100);
         let accelerators = next().unwrap_or(1) as i64;
+        let widths: Vec<u64> = std::iter::from_fn(next).collect();
+        let step = order.task.split('.').nth(2);
+        let step = step.and_then(|step| step.parse::<usize>().ok());
+        let width = step.and_then(|step| widths.get(step)).copied();
+        let width = width.unwrap_or(0) as u32;
         let used: i64 = self.running.values().map(|r| r.accelerators).sum();
         if used + accelerators > ACCELERATORS {
             return self.refuse("room");
         }
-        self.checker.record_start(&order.task, &self.life(), late);
+        let (life, now) = (self.life(), Instant::now());
+        self.checker
+            .record_start(&order.task, order.run, &life, late);
         let running = Running {
             run: order.run,
             accelerators,
-            ends_at: Instant::now() + Duration::from_millis(ms),
+            work: Duration::from_millis(ms),
+            started: now,
+            gang: width > 0,
         };
+        if running.gang {
+            self.gangs.join(&order.task, order.run, width, now);
+        }
         self.running.insert(order.task.clone(), running);
         self.accept()
     }
@@ -392,7 +469,9 @@
         let running: Vec<Value> = self
             .running
             .iter()
-            .map(|(task, r)| json!([task, r.run, "", 100, 1000]))
+            .map(|(task, r)| {
+                json!([task, r.run, "", self.progress(task, r), 1000])
+            })
             .collect();
         let finished: Vec<Value> = self
             .ended
--- a/crates/landingvalve-soak/tests/invariants.rs
+++ b/crates/landingvalve-soak/tests/invariants.rs
@@ -1,6 +1,7 @@
 //! The checker of the soak reports a reverted end of a job, and nothing else.
 
 use landingvalve_soak::invariants::Checker;
+use landingvalve_soak::invariants::Step;
 
 const JOB: &str = "5c0e7a21d94b36f8";
 
@@ -10,10 +11,14 @@
 fn violations(replies: &[(&str, &str)]) -> Vec<String> {
     let checker = Checker::default();
     let task = format!("{JOB}.0.0.0");
-    checker.record_submission(JOB, vec![1]);
+    let step = Step {
+        tasks: 1,
+        gang: false,
+    };
+    checker.record_submission(JOB, vec![step]);
     checker.record_submission_reply(JOB, Some(200));
     checker.record_cancel(JOB);
-    checker.record_start(&task, "life", false);
+    checker.record_start(&task, 1, "life", false);
     checker.record_end(&task, "life", true);
     for (state, before) in replies {
         checker.record_state(JOB, Some(state), before);
