--- a/crates/landingvalve-sim/src/lib.rs
+++ b/crates/landingvalve-sim/src/lib.rs
@@ -13,8 +13,10 @@
 //! time, so run a failing seed several times.
 
 pub mod day;
+pub mod gang;
 pub mod invariants;
 pub mod network;
+pub mod sound;
 pub mod store;
 pub mod worker;
 
