--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -302,6 +302,26 @@
         self.value(section, key, parse)
     }
 
+    /// Returns a number from `min` to `max`, both included, or the default if
+    /// the value is empty.
+    pub fn number_or_default<T: FromStr + PartialOrd>(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        min: T,
+        max: T,
+    ) -> Option<T> {
+        let field = |f: &&Field| f.section == section && f.key == key;
+        let default = self.fields.iter().find(field)?.default;
+        match (self.values.get_mut(&(section, key)), default) {
+            (Some(value), Some(default)) if value.0.is_empty() => {
+                *value = (default.to_owned(), Source::Default);
+            }
+            _ => {}
+        }
+        self.number(section, key, min, max)
+    }
+
     /// Returns an `http` URL without trailing slashes.
     pub fn url(
         &mut self,
