--- a/crates/landingvalve-soak/src/fleet.rs
+++ b/crates/landingvalve-soak/src/fleet.rs
@@ -80,6 +80,11 @@
         Ok(())
     }
 
+    /// Returns the id of the process while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Kills the process if it is running.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
