HTTP: the bodies of all requests together are bounded

Cause: `read_body` bounds one body, nothing bounds all of them, and nothing bounds how long a body takes. A body was kept as its frames: a chunk of 1 byte cost its handle of some 60 bytes and could keep the whole read buffer that it lay in, and the whole was copied once more at the end. The class: what one client may make a process hold is bounded, what all of them together may is not.

Change: `http::Memory`, one budget of bytes for the bodies of a process, an eighth of `[limits] memory_mb`. A body takes its share before it is read (its Content-Length at once, chunks as they grow) and gives it back when it is dropped. It is copied into one buffer, so that no read buffer outlives its read. When nothing is left, the oldest unfinished bodies are given up and their buffers freed at once; what complete requests hold is not taken from them, and the later request is refused. A submission's body must be complete by the caller's deadline; others have 10 s and the time of their transfer at 1 Mbit/s. All three answer 503 with Retry-After (such a request has not been passed on and will never run), count as `landingvalve_limited` with a label each, and write at most one line a second of each kind. A single body longer than the budget is still read while nothing else is held. Every user of `read_body` has the budget of its server; 64 MB where a server is given none.

--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -147,10 +147,7 @@
         span.set("account", &self.id);
         let body = match http::read_body(request, MAX_BODY_BYTES).await {
             Ok(body) => body,
-            Err(error) => {
-                let status = StatusCode::PAYLOAD_TOO_LARGE;
-                return responses::failure(status, error.to_string());
-            }
+            Err(error) => return responses::body_failure(error),
         };
         let submission: Submission = match serde_json::from_slice(&body) {
             Ok(submission) => submission,
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -131,10 +131,7 @@
     let is_deleted = request.method() == Method::DELETE;
     let body = match http::read_body(request, MAX_BODY_BYTES).await {
         Ok(body) => body,
-        Err(error) => {
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            return responses::failure(status, error.to_string());
-        }
+        Err(error) => return responses::body_failure(error),
     };
     let request_body: EditRequest = match serde_json::from_slice(&body) {
         Ok(request_body) => request_body,
--- a/src/entry/responses.rs
+++ b/src/entry/responses.rs
@@ -16,6 +16,9 @@
 use crate::wire::entry::Stage;
 use crate::wire::entry::Status;
 
+/// How long a caller should wait after its body was refused.
+const BODY_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// The body of an error response.
 #[derive(Debug, Serialize)]
 pub struct ErrorBody {
@@ -95,6 +98,18 @@
     response
 }
 
+/// Returns the response to a request whose body was not read completely.
+pub fn body_failure(error: http::BodyError) -> http::Response {
+    let text = error.to_string();
+    match error.status() {
+        StatusCode::SERVICE_UNAVAILABLE => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            retry_later(status, text, BODY_RETRY_DELAY)
+        }
+        status => failure(status, text),
+    }
+}
+
 /// Returns an error response that lists the invalid fields of a request.
 pub fn invalid_fields(problems: Vec<Problem>) -> http::Response {
     let error = problems
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,8 +1,16 @@
 //! HTTP server and client, built on hyper.
 
+mod body;
 mod client;
 mod server;
 
+pub use body::body_failure;
+pub use body::read_body;
+pub use body::read_body_until;
+pub use body::Body as RequestBody;
+pub use body::BodyError;
+pub use body::Memory;
+pub use body::Share;
 pub use client::transfer_time;
 pub use client::Client;
 pub use client::Error;
@@ -55,26 +63,3 @@
     *response.status_mut() = status;
     response
 }
-
-/// Reads the whole body of a request, up to `limit` bytes.
-///
-/// # Errors
-///
-/// If the body is longer than `limit`, or the connection breaks.
-pub async fn read_body(
-    request: Request,
-    limit: usize,
-) -> Result<Bytes, BodyError> {
-    let limited = http_body_util::Limited::new(request.into_body(), limit);
-    match limited.collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(_) => Err(BodyError { limit }),
-    }
-}
-
-/// A body that is longer than allowed, or that ended early.
-#[derive(Debug, thiserror::Error)]
-#[error("body: incomplete or longer than the {limit} bytes allowed")]
-pub struct BodyError {
-    limit: usize,
-}
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -17,6 +17,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::http::Memory;
 use crate::http::Request;
 use crate::http::Response;
 use crate::telemetry::metrics;
@@ -45,6 +46,15 @@
     pub log: slog::Logger,
 }
 
+impl Default for ConnectionLimit {
+    fn default() -> ConnectionLimit {
+        ConnectionLimit {
+            max_connections: DEFAULT_MAX_CONNECTIONS,
+            log: crate::log::none(),
+        }
+    }
+}
+
 impl ConnectionLimit {
     /// Counts a rejected connection, and logs it at most once a second.
     ///
@@ -100,10 +110,7 @@
         address: SocketAddr,
         handler: Arc<impl Handler>,
     ) -> io::Result<Server> {
-        let limit = ConnectionLimit {
-            max_connections: DEFAULT_MAX_CONNECTIONS,
-            log: crate::log::none(),
-        };
+        let limit = ConnectionLimit::default();
         Server::start_with_limit(address, handler, limit).await
     }
 
@@ -117,11 +124,29 @@
         address: SocketAddr,
         handler: Arc<impl Handler>,
         limit: ConnectionLimit,
+    ) -> io::Result<Server> {
+        let memory = Memory::default();
+        Server::start_within(address, handler, limit, memory).await
+    }
+
+    /// Binds `address` and serves requests with `handler` on at most as many
+    /// connections as `limit` allows. The bodies of the requests share
+    /// `memory` with those of other servers that were given it.
+    ///
+    /// # Errors
+    ///
+    /// If the address cannot be bound.
+    pub async fn start_within(
+        address: SocketAddr,
+        handler: Arc<impl Handler>,
+        limit: ConnectionLimit,
+        memory: Memory,
     ) -> io::Result<Server> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let (stop, stopped) = watch::channel(false);
-        let task = tokio::spawn(accept(listener, handler, limit, stopped));
+        let task =
+            tokio::spawn(accept(listener, handler, limit, memory, stopped));
         Ok(Server {
             address,
             stop,
@@ -155,6 +180,7 @@
     listener: TcpListener,
     handler: Arc<impl Handler>,
     limit: ConnectionLimit,
+    memory: Memory,
     mut stopped: watch::Receiver<bool>,
 ) {
     let graceful = GracefulShutdown::new();
@@ -181,8 +207,10 @@
         }
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
-        let service = service_fn(move |request| {
+        let memory = memory.clone();
+        let service = service_fn(move |mut request: Request| {
             let handler = handler.clone();
+            request.extensions_mut().insert(memory.clone());
             async move { Ok::<_, Infallible>(handler.handle(request).await) }
         });
         let connection = http1::Builder::new()
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod advice;
 mod again;
 mod births;
+mod bodies;
 mod broken;
 mod burst;
 mod cancels;
