--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -32,6 +32,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// The minimum interval between log lines about rejected connections.
 const REJECTION_LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// The connection limit of a server that only shows the state of its process.
+const MAX_PAGE_CONNECTIONS: usize = 128;
 /// The connection limit of [`Server::start`].
 const DEFAULT_MAX_CONNECTIONS: usize = 4096;
 
@@ -56,6 +58,15 @@
 }
 
 impl ConnectionLimit {
+    /// Returns the limit of a server that only shows the state of its process,
+    /// such as its metrics.
+    pub fn of_page(log: slog::Logger) -> ConnectionLimit {
+        ConnectionLimit {
+            max_connections: MAX_PAGE_CONNECTIONS,
+            log,
+        }
+    }
+
     /// Counts a rejected connection, and logs it at most once a second.
     ///
     /// `error` is the failure to accept a connection; `None` if the limit of
--- a/src/program.rs
+++ b/src/program.rs
@@ -83,7 +83,10 @@
     let page = match common.page {
         Some(address) => {
             let page = Arc::new(telemetry.page());
-            Some(http::Server::start(address, page).await?)
+            let limit = http::ConnectionLimit::of_page(crate::log::none());
+            let page =
+                http::Server::start_with_limit(address, page, limit).await?;
+            Some(page)
         }
         None => None,
     };
