HTTP: connections without a request keep nobody out

What callers saw: when clients that never finish a request hold all connections of an entry, everybody else's connection is closed at once, for the 10 s that a head may take, and again after that.

Cause: a server at its limit of connections closed the one that comes, whatever those that are open do.

Change: of a connection whose first head has not arrived, or the rest of whose body has not, something is owed; a server at its limit closes the oldest of these for the one that comes. Connections that owe nothing stay open, also idle ones, and if there are only such, the new one is closed as before. A connection is closed before it reads on, so that no complete request is lost with it. `landingvalve_limited` counts them as `connection age`.

--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -25,6 +25,7 @@
 use tokio::time::Instant;
 
 use crate::http;
+use crate::http::arrival::Connection;
 use crate::http::transfer_time;
 use crate::http::Request;
 use crate::http::Response;
@@ -398,6 +399,8 @@
 ) -> Result<Body, BodyError> {
     let memory = request.extensions().get::<Memory>().cloned();
     let memory = memory.unwrap_or_default();
+    let connection = request.extensions().get::<Connection>();
+    let _arrival = connection.map(Connection::wait);
     let read = read(&memory, request.into_body(), limit, deadline).await;
     if let Err(error) = read {
         memory.report(error);
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP server and client, built on hyper.
 
+mod arrival;
 mod body;
 mod client;
 mod server;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -5,6 +5,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use hyper::server::conn::http1;
@@ -17,6 +19,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::http::arrival::Arrivals;
 use crate::http::Memory;
 use crate::http::Request;
 use crate::http::Response;
@@ -41,8 +44,9 @@
 /// rejected connections.
 #[derive(Clone, Debug)]
 pub struct ConnectionLimit {
-    /// The maximum number of open connections. The server closes any further
-    /// connection at once.
+    /// The maximum number of open connections. To accept a further one, the
+    /// server closes the oldest of those of which the rest of a request is
+    /// awaited; if there is none, it closes the further one at once.
     pub max_connections: usize,
     /// The logger for rejected connections.
     pub log: slog::Logger,
@@ -67,19 +71,14 @@
         }
     }
 
-    /// Counts a rejected connection, and logs it at most once a second.
-    ///
-    /// `error` is the failure to accept a connection; `None` if the limit of
-    /// connections was reached.
+    /// Counts a connection that was rejected or closed, and logs it at most
+    /// once a second.
     fn report_rejection(
         &self,
         last_logged: &mut Option<Instant>,
-        error: Option<io::Error>,
+        rejection: Rejection,
     ) {
-        let limit = match error {
-            Some(_) => "descriptors",
-            None => "connections",
-        };
+        let limit = rejection.limit();
         metrics::get().limited.add(1, &[label("limit", limit)]);
         let now = Instant::now();
         if last_logged
@@ -90,7 +89,36 @@
         *last_logged = Some(now);
         slog::warn!(self.log, "http: connections are rejected";
             "limit" => limit, "most" => self.max_connections,
-            "error" => error.map(|error| error.to_string()));
+            "error" => rejection.error());
+    }
+}
+
+/// Why a connection is rejected or closed.
+enum Rejection {
+    /// It could not be accepted.
+    Failed(io::Error),
+    /// The limit of connections is reached.
+    Full,
+    /// It was the oldest of which the rest of a request was awaited when the
+    /// limit of connections was reached.
+    Awaited,
+}
+
+impl Rejection {
+    /// Returns the value of the label `limit`.
+    fn limit(&self) -> &'static str {
+        match self {
+            Rejection::Failed(_) => "descriptors",
+            Rejection::Full => "connections",
+            Rejection::Awaited => "connection age",
+        }
+    }
+
+    fn error(&self) -> Option<String> {
+        match self {
+            Rejection::Failed(error) => Some(error.to_string()),
+            Rejection::Full | Rejection::Awaited => None,
+        }
     }
 }
 
@@ -198,13 +226,15 @@
     // The set is dropped with this task, so that aborting the task closes
     // every connection.
     let mut connections = tokio::task::JoinSet::new();
+    let arrivals = Arrivals::default();
     let mut last_logged = None;
     loop {
         let stream = tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => stream,
                 Err(error) => {
-                    limit.report_rejection(&mut last_logged, Some(error));
+                    let rejection = Rejection::Failed(error);
+                    limit.report_rejection(&mut last_logged, rejection);
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                     continue;
                 }
@@ -212,16 +242,28 @@
             Some(_) = connections.join_next() => continue,
             _ = stopped.changed() => break,
         };
-        if connections.len() >= limit.max_connections {
-            limit.report_rejection(&mut last_logged, None);
+        let is_full = connections.len() >= limit.max_connections;
+        if is_full && !arrivals.close_oldest() {
+            limit.report_rejection(&mut last_logged, Rejection::Full);
             continue;
         }
+        if is_full {
+            limit.report_rejection(&mut last_logged, Rejection::Awaited);
+            connections.join_next().await;
+        }
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
         let memory = memory.clone();
+        let handle = arrivals.connect();
+        let closed = handle.clone();
+        let first_head = Mutex::new(Some(handle.wait()));
         let service = service_fn(move |mut request: Request| {
             let handler = handler.clone();
             request.extensions_mut().insert(memory.clone());
+            request.extensions_mut().insert(handle.clone());
+            let mut first_head =
+                first_head.lock().unwrap_or_else(PoisonError::into_inner);
+            drop(first_head.take());
             async move { Ok::<_, Infallible>(handler.handle(request).await) }
         });
         let connection = http1::Builder::new()
@@ -231,7 +273,13 @@
             .serve_connection(TokioIo::new(stream), service);
         let connection = graceful.watch(connection);
         connections.spawn(async move {
-            let _ = connection.await;
+            // In this order, so that a connection that is to be closed does not
+            // read the rest of its request, which would be lost.
+            tokio::select! {
+                biased;
+                () = closed.closed() => {}
+                _ = connection => {}
+            }
         });
     }
     drop(listener);
--- a/tests/it/bodies.rs
+++ b/tests/it/bodies.rs
@@ -44,6 +44,9 @@
     }
 }
 
+/// The most connections of a server with few of them.
+const FEW_CONNECTIONS: usize = 2;
+
 /// A server, and the memory that its bodies share.
 struct Server {
     address: SocketAddr,
@@ -52,9 +55,13 @@
 }
 
 async fn start(timeout: Duration) -> Server {
+    start_with(timeout, MAX_CONNECTIONS).await
+}
+
+async fn start_with(timeout: Duration, max_connections: usize) -> Server {
     let memory = Memory::new(MEMORY_BYTES, log::none());
     let limit = http::ConnectionLimit {
-        max_connections: MAX_CONNECTIONS,
+        max_connections,
         log: log::none(),
     };
     let any = ([127, 0, 0, 1], 0).into();
@@ -86,6 +93,18 @@
         stream
     }
 
+    /// Sends a whole request, on a new connection until one is accepted;
+    /// returns the connection once it is answered.
+    async fn ask(&self) -> TcpStream {
+        let ask = || async {
+            let mut stream = self.begin(20, 20).await;
+            let mut buffer = [0; 12];
+            let read = stream.read_exact(&mut buffer).await;
+            (read.is_ok() && buffer == *b"HTTP/1.1 200").then_some(stream)
+        };
+        until("an answer", ask).await
+    }
+
     /// Waits until the bodies hold so many bytes.
     async fn holds(&self, bytes: usize) {
         let held =
@@ -169,3 +188,34 @@
     assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
     assert_eq!(server.memory.held_bytes(), 0);
 }
+
+/// Checks that a connection is closed without an answer.
+async fn assert_closed(mut stream: TcpStream) {
+    let read = stream.read(&mut [0; 100]).await;
+    assert!(matches!(read, Ok(0) | Err(_)), "{read:?}");
+}
+
+#[tokio::test]
+async fn head_without_end_keeps_a_later_caller_out() {
+    let server = start_with(LONG, FEW_CONNECTIONS).await;
+    let idle = server.ask().await;
+    let stream = TcpStream::connect(server.address).await;
+    let mut unfinished = stream.expect("a connection");
+    unfinished.write_all(b"POST").await.expect("a connection");
+    let later = server.ask().await;
+    assert_closed(unfinished).await;
+    // Connections that owe nothing stay open.
+    drop((idle, later));
+}
+
+#[tokio::test]
+async fn short_body_without_end_keeps_a_later_caller_out() {
+    let server = start_with(LONG, FEW_CONNECTIONS).await;
+    let idle = server.ask().await;
+    let unfinished = server.begin(2, 1).await;
+    server.holds(2).await;
+    let later = server.ask().await;
+    assert_closed(unfinished).await;
+    drop((idle, later));
+    server.holds(0).await;
+}
