--- a/src/cell/admission/mod.rs
+++ b/src/cell/admission/mod.rs
@@ -223,7 +223,9 @@
         }
     }
 
-    fn is_unsure(&self, id: &graph::JobId) -> bool {
+    /// Returns whether a write of this job had no answer and may yet take
+    /// effect.
+    pub fn is_unsure(&self, id: &graph::JobId) -> bool {
         let unsure = self.unsure.lock();
         let unsure = unsure.unwrap_or_else(PoisonError::into_inner);
         unsure.contains_key(id)
