--- a/tests/it/bodies.rs
+++ b/tests/it/bodies.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use hyper::StatusCode;
@@ -59,15 +60,21 @@
 }
 
 async fn start_with(timeout: Duration, max_connections: usize) -> Server {
+    start_handler(Arc::new(Measurer { timeout }), max_connections).await
+}
+
+async fn start_handler(
+    handler: Arc<impl Handler>,
+    max_connections: usize,
+) -> Server {
     let memory = Memory::new(MEMORY_BYTES, log::none());
     let limit = http::ConnectionLimit {
         max_connections,
         log: log::none(),
     };
     let any = ([127, 0, 0, 1], 0).into();
-    let measurer = Arc::new(Measurer { timeout });
     let server =
-        http::Server::start_within(any, measurer, limit, memory.clone());
+        http::Server::start_within(any, handler, limit, memory.clone());
     let server = server.await.expect("a free port");
     Server {
         address: server.address(),
@@ -219,3 +226,39 @@
     drop((idle, later));
     server.holds(0).await;
 }
+
+/// Grows the share of each body to a fixed size, and keeps it.
+#[derive(Default)]
+struct Hoarder {
+    shares: Mutex<Vec<http::Share>>,
+}
+
+impl Handler for Hoarder {
+    async fn handle(&self, request: Request) -> Response {
+        let body = http::read_body(request, MAX_BODY_BYTES).await;
+        let mut share = body.expect("a body").into_share();
+        match share.grow_to(6000) {
+            Ok(()) => {
+                self.shares.lock().expect("not poisoned").push(share);
+                http::text(StatusCode::OK, "kept")
+            }
+            Err(error) => http::body_failure(error),
+        }
+    }
+}
+
+#[tokio::test]
+async fn what_is_made_of_bodies_takes_no_memory() {
+    let hoarder = Arc::new(Hoarder::default());
+    let server = start_handler(hoarder.clone(), MAX_CONNECTIONS).await;
+    let mut first = server.begin(20, 20).await;
+    assert!(answer(&mut first).await.ends_with("kept"));
+    server.holds(6000).await;
+    let mut second = server.begin(20, 20).await;
+    let refused = answer(&mut second).await;
+    assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
+    server.holds(6000).await;
+    hoarder.shares.lock().expect("not poisoned").clear();
+    let mut third = server.begin(20, 20).await;
+    assert!(answer(&mut third).await.ends_with("kept"));
+}
