--- a/src/log.rs
+++ b/src/log.rs
@@ -98,3 +98,24 @@
         self.suppressed.swap(0, Ordering::Relaxed)
     }
 }
+
+/// The longest excerpt of a text from outside, in bytes.
+const MAX_EXCERPT_BYTES: usize = 256;
+
+/// Returns the beginning of a text from outside, for a log line.
+///
+/// # Examples
+///
+/// ```
+/// use landingvalve::log;
+///
+/// assert_eq!(log::excerpt("/jobs/17"), "/jobs/17");
+/// assert_eq!(log::excerpt(&"x".repeat(1000)).len(), 256);
+/// ```
+pub fn excerpt(text: &str) -> &str {
+    let mut end = text.len().min(MAX_EXCERPT_BYTES);
+    while !text.is_char_boundary(end) {
+        end -= 1;
+    }
+    &text[..end]
+}
