HTTP: a reply that nobody reads does not hold its connection for good

A client that sends requests and reads no reply kept its connection, the reply and the kernel's buffers for as long as it liked: a write had no deadline, and such a connection is not one of which the server awaits anything. Enough of them take every connection.

A slow reader that reads at all is not affected.

Test: `reply_that_nobody_reads_holds_its_connection`, a server with one connection, in virtual time.

--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod body;
 mod client;
 mod server;
+mod stream;
 
 pub use body::body_failure;
 pub use body::read_body;
@@ -20,6 +21,7 @@
 pub use server::ConnectionLimit;
 pub use server::Handler;
 pub use server::Server;
+pub use stream::WRITE_TIMEOUT;
 
 use std::convert::Infallible;
 
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -20,6 +20,7 @@
 use tokio::time::Instant;
 
 use crate::http::arrival::Arrivals;
+use crate::http::stream::Stream;
 use crate::http::Memory;
 use crate::http::Request;
 use crate::http::Response;
@@ -270,7 +271,7 @@
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_TIMEOUT)
             .max_buf_size(MAX_HEAD_BYTES)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(Stream::new(stream)), service);
         let connection = graceful.watch(connection);
         connections.spawn(async move {
             // In this order, so that a connection that is to be closed does not
--- a/tests/it/bodies.rs
+++ b/tests/it/bodies.rs
@@ -2,6 +2,8 @@
 //! is given back.
 
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -262,3 +264,59 @@
     let mut third = server.begin(20, 20).await;
     assert!(answer(&mut third).await.ends_with("kept"));
 }
+
+/// The length of the reply of a [`Talker`], in bytes: more than the buffers of
+/// a connection hold.
+const LONG_REPLY_BYTES: usize = 64 << 20;
+
+/// Answers with a long text, and tells how many requests it has received.
+#[derive(Default)]
+struct Talker {
+    requests: AtomicUsize,
+}
+
+impl Handler for Talker {
+    async fn handle(&self, _request: Request) -> Response {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+        http::text(StatusCode::OK, vec![b'x'; LONG_REPLY_BYTES])
+    }
+}
+
+#[tokio::test]
+async fn reply_that_nobody_reads_holds_its_connection() {
+    let talker = Arc::new(Talker::default());
+    let server = start_handler(talker.clone(), 1).await;
+    let silent = server.begin(0, 0).await;
+    let requests = |count: usize| {
+        let talker = talker.clone();
+        let received = move || {
+            let all = talker.requests.load(Ordering::Relaxed);
+            async move { (all == count).then_some(()) }
+        };
+        until("a request", received)
+    };
+    requests(1).await;
+    // The buffers of the connection fill up.
+    let mut filled = false;
+    while !filled {
+        let before = silent_bytes(&silent).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        filled = silent_bytes(&silent).await == before;
+    }
+    tokio::time::pause();
+    tokio::time::advance(http::WRITE_TIMEOUT).await;
+    tokio::time::resume();
+    let other = || async {
+        let stream = server.begin(0, 0).await;
+        let read = stream.readable().await;
+        let peeked = stream.peek(&mut [0; 1]).await;
+        matches!((read, peeked), (Ok(()), Ok(1))).then_some(())
+    };
+    until("an answer", other).await;
+}
+
+/// Returns how much of a reply has arrived and is not read, up to 16 MiB.
+async fn silent_bytes(stream: &TcpStream) -> usize {
+    let mut buffer = vec![0; 16 << 20];
+    stream.peek(&mut buffer).await.expect("a reply")
+}
