Agent: a worker's clock at its end does not end the agent

Callers saw: jobs that stay queued. A worker's answer whose currentTimeMs is 2^64 - 1 ended the agent's polls (debug build: a panic; release build: an end of the lease long past).

Cause: View::worker_time_at added the time since the answer without a check, and the end of a leaving worker's stay was added to the clock likewise.

Change: the first sum ends at the largest time, the second says nothing if no clock can show it.

Test: odd_reports::an_agent_survives_a_worker_s_clock_at_its_end; before, on: 'panicked at src/cell/member/view.rs:315:14: attempt to add with overflow', then 'never came: the wanted number of tasks runs'.

--- a/src/cell/member/mod.rs
+++ b/src/cell/member/mod.rs
@@ -77,6 +77,14 @@
     pub time: Option<WorkerTime>,
 }
 
+impl Heartbeat {
+    /// Returns the time until which a leaving worker stays at least. One that
+    /// no clock can show says nothing.
+    fn stays_until(&self, now: Instant) -> Option<Instant> {
+        now.checked_add(self.remaining?)
+    }
+}
+
 struct Inner<W, S> {
     config: Config,
     worker: W,
--- a/src/cell/member/state.rs
+++ b/src/cell/member/state.rs
@@ -153,8 +153,7 @@
         if heartbeat.sequence <= view.heartbeat.sequence {
             return Update::None;
         }
-        view.stays_until =
-            heartbeat.remaining.map(|remaining| now + remaining);
+        view.stays_until = heartbeat.stays_until(now);
         view.mark_alive(now);
         let same = view.heartbeat.leaving == heartbeat.leaving
             && view.heartbeat.capacity == heartbeat.capacity;
--- a/src/cell/member/view.rs
+++ b/src/cell/member/view.rs
@@ -167,7 +167,7 @@
         now: Instant,
     ) -> View {
         View {
-            stays_until: heartbeat.remaining.map(|remaining| now + remaining),
+            stays_until: heartbeat.stays_until(now),
             clock: heartbeat.time.map(|time| (time, now)),
             heartbeat,
             lists: None,
@@ -312,7 +312,7 @@
     pub fn worker_time_at(&self, instant: Instant) -> Option<WorkerTime> {
         let (time, received) = self.clock?;
         let ahead = instant.saturating_duration_since(received);
-        Some(time + ahead.as_millis() as u64)
+        Some(time.saturating_add(ahead.as_millis() as WorkerTime))
     }
 
     /// Returns whether a run is listed.
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -118,6 +118,8 @@
     births: u64,
     /// When the worker's clock started, if the worker has crashed.
     clock_start: Option<Instant>,
+    /// The time that the worker's clock shows, if it has stopped.
+    stopped_at: Option<WorkerTime>,
     /// The number of the last heartbeat.
     sequence: u64,
     /// The highest fencing token that the worker has seen.
@@ -296,6 +298,11 @@
         self.lock().crash();
     }
 
+    /// Stops the worker's clock at a time, or lets it go on.
+    pub fn set_time(&self, time: Option<WorkerTime>) {
+        self.lock().stopped_at = time;
+    }
+
     /// Returns the number of the worker's crashes.
     pub fn crashes(&self) -> u32 {
         self.lock().crashes
@@ -416,7 +423,8 @@
     /// last restart.
     fn time(&self, created_at: Instant) -> WorkerTime {
         let clock_start = self.clock_start.unwrap_or(created_at);
-        clock_start.elapsed().as_millis() as u64
+        let time = clock_start.elapsed().as_millis() as WorkerTime;
+        self.stopped_at.unwrap_or(time)
     }
 
     /// Returns the worker's birth, in ms since 1970, if the worker reports
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -30,6 +30,7 @@
 mod near;
 mod objective;
 mod odd_jobs;
+mod odd_reports;
 mod order;
 mod ordered;
 mod pace;
