Agent: one report of another writer does not shut out the worker for good

Callers saw: an accepted job stays queued; the workers are sound and empty. One liveness report without capacity and with a sequence of 4,800 had reached the agent of each.

Cause: the highest sequence ever seen decided for the whole life which report is newer. The other writer's report was believed, and every later one of the worker was passed over as late, without a line.

Change: a report follows the last one if its sequence is 1 to 100 higher; what is lower or farther ahead is not applied, and says so in a throttled line and in landingvalve_strange. The last one decides for 4 s only: a worker that is there reports each 1.5 s, and no call of it is under way for 4 s, so that a report that nothing follows was not the worker's.

--- a/src/cell/member/mod.rs
+++ b/src/cell/member/mod.rs
@@ -132,6 +132,7 @@
         let now = Instant::now();
         let life = heartbeat.life.clone();
         let leaving = heartbeat.leaving;
+        let sequence = heartbeat.sequence;
         let lease = self.0.config.lease;
         match self.lock().apply_heartbeat(heartbeat, lease, now) {
             state::Update::NewLife => {
@@ -155,6 +156,12 @@
                 // A poll shows whether the known life still answers.
                 self.0.poll_now.notify_one();
             }
+            state::Update::OutOfOrder => {
+                metrics::get().strange.add(1, &[label("what", "order")]);
+                slog::warn!(self.0.config.log,
+                    "agent: a heartbeat does not follow the last one";
+                    "life" => &*life, "sequence" => sequence);
+            }
             state::Update::None => {}
         }
     }
--- a/src/cell/member/state.rs
+++ b/src/cell/member/state.rs
@@ -39,8 +39,8 @@
 /// The shortest remaining grant under which a task is still started.
 const MIN_LEASE: Duration = Duration::from_millis(400);
 
-/// The least time between two heartbeats of a conflicting life that are logged
-/// and cause a poll. Whoever sends such heartbeats must not keep the agent
+/// The least time between two heartbeats that are not applied and are logged or
+/// cause a poll. Whoever sends such heartbeats must not keep the agent
 /// from its worker.
 const CONFLICT_INTERVAL: Duration = Duration::from_secs(1);
 /// The number of frequent polls of a life, enough for a minute.
@@ -58,6 +58,9 @@
     Changed,
     /// The heartbeat names another life while the known one answers.
     Conflict,
+    /// The heartbeat does not follow the last one of its life: it is late, or
+    /// one of them is not from the worker.
+    OutOfOrder,
     /// Nothing has changed.
     None,
 }
@@ -130,12 +133,7 @@
         let view = match &mut self.worker {
             Some(view) if view.heartbeat.life == heartbeat.life => view,
             Some(view) if view.is_confirmed(now) => {
-                let due = self.next_conflict.is_none_or(|next| now >= next);
-                if !due {
-                    return Update::None;
-                }
-                self.next_conflict = Some(now + CONFLICT_INTERVAL);
-                return Update::Conflict;
+                return self.conflict(Update::Conflict, now);
             }
             _ => {
                 let mut view = View::new(heartbeat, lease, now);
@@ -150,8 +148,8 @@
                 return Update::NewLife;
             }
         };
-        if heartbeat.sequence <= view.heartbeat.sequence {
-            return Update::None;
+        if !view.is_followed_by(heartbeat.sequence, now) {
+            return self.conflict(Update::OutOfOrder, now);
         }
         view.stays_until = heartbeat.stays_until(now);
         view.mark_alive(now);
@@ -168,16 +166,27 @@
             view.heartbeat.leaving = false;
         }
         let leaving = view.heartbeat.leaving || heartbeat.leaving;
-        view.heartbeat = Heartbeat {
+        let heartbeat = Heartbeat {
             leaving,
             ..heartbeat
         };
+        view.replace_heartbeat(heartbeat, now);
         match same {
             true => Update::None,
             false => Update::Changed,
         }
     }
 
+    /// Returns the effect of a heartbeat that is not applied, or none if the
+    /// last such effect is recent.
+    fn conflict(&mut self, update: Update, now: Instant) -> Update {
+        if self.next_conflict.is_some_and(|next| now < next) {
+            return Update::None;
+        }
+        self.next_conflict = Some(now + CONFLICT_INTERVAL);
+        update
+    }
+
     /// Records a notice that the worker with this name is about to end.
     /// Returns whether it is the first one for the known life.
     ///
--- a/src/cell/member/view.rs
+++ b/src/cell/member/view.rs
@@ -37,6 +37,13 @@
 /// speed is unknown, in percent: the planner estimates times from it.
 const REPORTED_SHARE: f64 = 10.0;
 
+/// How long a heartbeat decides which ones come after it. A worker that is
+/// there sends the next one much sooner, and none of its calls is under way for
+/// as long.
+const ORDER_LIFETIME: Duration = Duration::from_secs(4);
+/// The most by which a sequence can rise meanwhile: 25 heartbeats a second.
+const MAX_SEQUENCE_STEP: u64 = 100;
+
 /// A run of a task.
 pub type Key = (Task, Run);
 
@@ -102,6 +109,8 @@
 #[derive(Clone, Debug)]
 pub struct View {
     pub heartbeat: Heartbeat,
+    /// Until when only the heartbeats that follow this one are applied.
+    ordered_until: Instant,
     /// The time until which a leaving worker stays at least.
     pub stays_until: Option<Instant>,
     /// The worker's time, and when it was received: the worker's clock was
@@ -170,6 +179,7 @@
             stays_until: heartbeat.stays_until(now),
             clock: heartbeat.time.map(|time| (time, now)),
             heartbeat,
+            ordered_until: now + ORDER_LIFETIME,
             lists: None,
             listed_at: None,
             last_ended: Vec::new(),
@@ -261,6 +271,29 @@
         }
     }
 
+    /// Returns whether a heartbeat with this sequence comes after the last
+    /// one.
+    ///
+    /// A lower one is late, and one that is far ahead is not from this worker.
+    /// If nothing follows the last one for [`ORDER_LIFETIME`], it was itself
+    /// not from this worker, and whatever comes then is newer.
+    pub(super) fn is_followed_by(&self, sequence: u64, now: Instant) -> bool {
+        let step = sequence.checked_sub(self.heartbeat.sequence);
+        let follows =
+            step.is_some_and(|s| (1..=MAX_SEQUENCE_STEP).contains(&s));
+        follows || now >= self.ordered_until
+    }
+
+    /// Replaces the last heartbeat by one that comes after it.
+    pub(super) fn replace_heartbeat(
+        &mut self,
+        heartbeat: Heartbeat,
+        now: Instant,
+    ) {
+        self.heartbeat = heartbeat;
+        self.ordered_until = now + ORDER_LIFETIME;
+    }
+
     /// Records a sign of life from the worker.
     pub fn mark_alive(&mut self, now: Instant) {
         self.last_contact = now;
