Log: a line about a value that cannot be read is bounded

Operators saw: a line of 60 kB about a value of 60 kB; the decoder's error repeats what it cannot read.

Cause: values and errors went into lines, answers and other errors whole.

Change: log::excerpt takes the first 300 characters of a value from outside.

--- a/src/cell/admission/stage.rs
+++ b/src/cell/admission/stage.rs
@@ -10,6 +10,7 @@
 use crate::cell::keys;
 use crate::cell::record::Ending;
 use crate::graph::Outcome;
+use crate::log::excerpt;
 use crate::store::Change;
 use crate::store::Item;
 use crate::store::Store;
@@ -97,7 +98,7 @@
                 Err(error) => {
                     slog::error!(self.log,
                         "entry: a job's progress cannot be decoded";
-                        "key" => &item.key, "error" => %error);
+                        "key" => &item.key, "error" => excerpt(error));
                     return None;
                 }
             }
@@ -130,5 +131,5 @@
 fn outcome(progress: &Item) -> Result<Option<Outcome>, Unavailable> {
     serde_json::from_slice::<Ending>(&progress.value)
         .map(|ending| ending.outcome)
-        .map_err(|error| Unavailable(error.to_string()))
+        .map_err(|error| Unavailable(excerpt(error)))
 }
--- a/src/cell/configuration.rs
+++ b/src/cell/configuration.rs
@@ -19,6 +19,7 @@
 use crate::clock::BootInstant;
 use crate::graph::Advice;
 use crate::graph::SharedStr;
+use crate::log::excerpt;
 use crate::store::Change;
 use crate::store::Error;
 use crate::store::Item;
@@ -374,7 +375,7 @@
             }
             Err(error) => slog::error!(log,
                 "configuration: a version cannot be decoded";
-                "revision" => item.modified, "error" => %error),
+                "revision" => item.modified, "error" => excerpt(error)),
         }
     }
 
--- a/src/cell/inquiry.rs
+++ b/src/cell/inquiry.rs
@@ -9,6 +9,7 @@
 use crate::cell::keys;
 use crate::cell::pause;
 use crate::graph::Report;
+use crate::log::excerpt;
 use crate::store::Item;
 use crate::store::Store;
 
@@ -43,7 +44,7 @@
         Ok(report) => Some(report),
         Err(error) => {
             slog::error!(log, "planner: a saved report cannot be decoded";
-                "key" => &item.key, "error" => %error);
+                "key" => &item.key, "error" => excerpt(error));
             None
         }
     }
--- a/src/cell/member/mod.rs
+++ b/src/cell/member/mod.rs
@@ -30,6 +30,7 @@
 use crate::graph::Life;
 use crate::graph::Resources;
 use crate::graph::SharedStr;
+use crate::log::excerpt;
 use crate::store::Store;
 use crate::telemetry::metrics;
 use crate::telemetry::metrics::label;
@@ -171,7 +172,7 @@
     pub fn worker_left(&self, name: &str) {
         let new = self.lock().mark_goodbye(&Life::from(name));
         slog::info!(self.0.config.log, "agent: the worker said goodbye";
-            "life" => name, "new" => new);
+            "life" => excerpt(name), "new" => new);
         if new {
             self.0.poll_now.notify_one();
         }
--- a/src/cell/planner/mod.rs
+++ b/src/cell/planner/mod.rs
@@ -37,6 +37,7 @@
 use crate::graph::Step;
 use crate::graph::Ticket;
 use crate::graph::Timestamp;
+use crate::log::excerpt;
 use crate::store::Change;
 use crate::store::Item;
 use crate::store::Listing;
@@ -302,7 +303,7 @@
     ) {
         slog::error!(self.log,
             "planner: a job's progress cannot be decoded";
-            "key" => key, "error" => %error);
+            "key" => key, "error" => excerpt(error));
         self.unreadable.insert(id);
     }
 
@@ -366,7 +367,7 @@
             }
             Err(error) => slog::error!(self.log,
                 "planner: a job cannot be decoded"; "job" => id,
-                "error" => %error),
+                "error" => excerpt(error)),
         }
     }
 
--- a/src/cell/session.rs
+++ b/src/cell/session.rs
@@ -31,6 +31,7 @@
 use crate::cell::rpc::CellServer;
 use crate::graph::Options;
 use crate::graph::Report;
+use crate::log::excerpt;
 use crate::log::Throttle;
 use crate::store::Changes;
 use crate::store::Error;
@@ -103,7 +104,7 @@
         if !here && self.misdirected.try_acquire() {
             slog::warn!(self.log,
                 "entry: a call is meant for another process";
-                "to" => to, "life" => &self.life);
+                "to" => to.map(excerpt), "life" => &self.life);
         }
         here
     }
--- a/src/log.rs
+++ b/src/log.rs
@@ -3,6 +3,9 @@
 //! A message is a short sentence after the prefix of its part, such as
 //! `entry:`, `planner:` or `agent:`.
 
+use std::fmt;
+use std::fmt::Display;
+use std::fmt::Write;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::Mutex;
@@ -98,3 +101,52 @@
         self.suppressed.swap(0, Ordering::Relaxed)
     }
 }
+
+/// The most characters of a value from outside in a log line or an answer.
+pub const MAX_EXCERPT_CHARS: usize = 300;
+/// What stands for the part of a value that is left out.
+const ELLIPSIS: &str = "...";
+
+/// The beginning of a text.
+struct Beginning {
+    text: String,
+    /// The number of characters that are still taken.
+    room: usize,
+}
+
+impl Write for Beginning {
+    fn write_str(&mut self, more: &str) -> fmt::Result {
+        let mut chars = more.chars();
+        let taken = chars.by_ref().take(self.room);
+        let before = self.text.len();
+        self.text.extend(taken);
+        self.room -= self.text[before..].chars().count();
+        match chars.next() {
+            None => Ok(()),
+            // Ends the formatting of the value.
+            Some(_) => Err(fmt::Error),
+        }
+    }
+}
+
+/// Returns at most [`MAX_EXCERPT_CHARS`] characters of a value from outside, or
+/// of an error that repeats one.
+///
+/// # Examples
+///
+/// ```
+/// use landingvalve::log::excerpt;
+///
+/// assert_eq!(excerpt("port 70800"), "port 70800");
+/// assert!(excerpt("7".repeat(60_000)).ends_with("777..."));
+/// ```
+pub fn excerpt(value: impl Display) -> String {
+    let mut beginning = Beginning {
+        text: String::new(),
+        room: MAX_EXCERPT_CHARS,
+    };
+    if write!(beginning, "{value}").is_err() {
+        beginning.text.push_str(ELLIPSIS);
+    }
+    beginning.text
+}
--- a/tests/it/explain.rs
+++ b/tests/it/explain.rs
@@ -29,15 +29,24 @@
 
 /// A log kept in memory, in the format of the processes.
 #[derive(Clone, Default)]
-struct Lines(Arc<Mutex<Vec<u8>>>);
+pub struct Lines(Arc<Mutex<Vec<u8>>>);
 
 impl Lines {
-    fn logger(&self) -> slog::Logger {
+    /// Returns a logger that adds to these lines.
+    pub fn logger(&self) -> slog::Logger {
         let out = slog_json::Json::default(self.clone());
         let drain = Mutex::new(out.fuse()).fuse();
         slog::Logger::root(drain, o!("process" => "e1"))
     }
 
+    /// Returns the lines with a text.
+    pub fn with(&self, text: &str) -> Vec<String> {
+        let lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let lines = String::from_utf8_lossy(&lines).into_owned();
+        let lines = lines.lines().filter(|line| line.contains(text));
+        lines.map(str::to_owned).collect()
+    }
+
     fn read(&self) -> Logs {
         let lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let mut logs = Logs::default();
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -29,6 +29,7 @@
 mod misdirected;
 mod near;
 mod objective;
+mod odd_entries;
 mod odd_jobs;
 mod odd_reports;
 mod order;
--- /dev/null
+++ b/tests/it/odd_entries.rs
@@ -0,0 +1,128 @@
+//! Values of another writer among the keys that entries and agents read.
+
+use landingvalve::cell::keys;
+use landingvalve::cell::Admission;
+use landingvalve::graph::RunOutcome;
+use landingvalve::log;
+use landingvalve::store::LeaseId;
+use landingvalve::store::Mutation;
+use landingvalve::store::Store;
+
+use crate::cell::deadline;
+use crate::cell::job;
+use crate::cell::start_agent;
+use crate::cell::wait_for_running;
+use crate::cell::wait_for_stage;
+use crate::cell::Entry;
+use crate::cell::FakeWorker;
+use crate::cell::Memory;
+use crate::cell::SUCCEEDED;
+use crate::explain::Lines;
+
+/// No lease.
+const UNLEASED: LeaseId = 0;
+/// The depth of a value that is nested very deeply.
+const DEPTH: usize = 30_000;
+/// The size of a value that is much longer than a line should be.
+const LONG_BYTES: usize = 60_000;
+/// The longest line about a value.
+const MAX_LINE_BYTES: usize = 1000;
+
+/// Returns values that no process of the system writes.
+fn odd_values() -> Vec<Vec<u8>> {
+    let nested = [vec![b'['; DEPTH], vec![b']'; DEPTH]].concat();
+    let digits = "7".repeat(400);
+    let numbers = format!(
+        r#"{{"process":"other","address":"10.0.0.9:70800","life":"x",
+        "cores":1e308,"sequence":{digits}}}"#
+    );
+    let port = r#"{"process":"other","address":"10.0.0.9:70800","life":"x"}"#;
+    vec![
+        nested,
+        numbers.into_bytes(),
+        port.as_bytes().to_vec(),
+        vec![0xff, 0xfe, b'{', 0x80],
+        Vec::new(),
+        b"null".to_vec(),
+    ]
+}
+
+/// Writes a value as another writer.
+async fn write(store: &Memory, key: &str, value: Vec<u8>) {
+    let put = Mutation::Value(key.to_owned(), value, UNLEASED);
+    store.swap(&[], vec![put]).await.expect("is written");
+}
+
+/// Submits a job of two tasks and waits until both have run.
+async fn run_job(id: &str, store: &Memory, worker: &FakeWorker) {
+    let admission = Admission::new(store.clone(), log::none());
+    admission.submit(&job(id), deadline()).await;
+    wait_for_running(worker, 2).await;
+    worker.end_all(RunOutcome::Done);
+    wait_for_stage(&admission, id, SUCCEEDED).await;
+}
+
+/// Odd values beside sound ones, read by a planner that has just claimed and by
+/// one that follows changes.
+#[tokio::test]
+async fn odd_values_beside_sound_ones_stop_nothing() {
+    let store = Memory::default();
+    let worker = FakeWorker::with_births();
+    write_everywhere(&store, "before").await;
+    let entry = Entry::start("entry", &store).await;
+    let agent = start_agent(&store, &worker);
+    run_job("a", &store, &worker).await;
+    write_everywhere(&store, "after").await;
+    run_job("b", &store, &worker).await;
+    entry.kill();
+    let entry = Entry::start("other", &store).await;
+    run_job("c", &store, &worker).await;
+    agent.abort();
+    entry.kill();
+}
+
+/// Guards against lines of 60 kB, which repeated the values that they were
+/// about.
+#[tokio::test]
+async fn lines_about_values_that_cannot_be_read_are_short() {
+    let store = Memory::default();
+    let lines = Lines::default();
+    let text = format!("\"{}\"", "x".repeat(LONG_BYTES));
+    let (name, text) = ("long", text.into_bytes());
+    let odd = [keys::job(name), keys::report(name), keys::progress("other")];
+    for key in odd {
+        write(&store, &key, text.clone()).await;
+    }
+    let entry = Entry::with_log("entry", &store, lines.logger()).await;
+    let worker = FakeWorker::with_births();
+    let agent = start_agent(&store, &worker);
+    run_job("a", &store, &worker).await;
+    let about = lines.with("cannot be decoded");
+    assert!(about.len() >= 2, "{} lines", about.len());
+    let longest = about.iter().map(String::len).max().unwrap_or(0);
+    assert!(longest <= MAX_LINE_BYTES, "a line of {longest} bytes");
+    agent.abort();
+    entry.kill();
+}
+
+/// Writes each odd value below each prefix that processes read.
+async fn write_everywhere(store: &Memory, name: &str) {
+    for (number, value) in odd_values().into_iter().enumerate() {
+        let name = format!("{name}{number}");
+        let odd = [
+            format!("{}00-{name}", keys::ENTRY_PREFIX),
+            keys::report(&name),
+            keys::job(&name),
+            keys::cancel(&format!("{name}-cancelled")),
+            format!("{}{name}", keys::INTAKE_PREFIX),
+            keys::progress(&name),
+            format!("{}{name}/0.0.0", keys::PART_PREFIX),
+            format!("{}{name}/99999999999999999999.x", keys::PART_PREFIX),
+            keys::waiting_job("queue", &name),
+            keys::STRONGEST_CORES.to_owned(),
+        ];
+        for key in odd {
+            write(store, &key, value.clone()).await;
+        }
+    }
+}
