Relay: registrations that name no entry are told and passed over

Operators saw: nothing. A value below lv/entry/ that could not be decoded was dropped without a line, and one with port 70800 was taken for an entry: calls of the store were sent there first, or the group read counted as large enough.

Cause: the decoder checked the fields' types alone, and errors were swallowed.

Change: Recipient::decode wants an address with a port from 1 to 65535; what names no entry is counted (landingvalve_strange, what=entry) and told in a throttled, bounded line.

Test: odd_entries::registrations_that_name_no_entry_are_told_and_passed_over; before: 'others: [Recipient { address: "10.0.0.9:70800" ...'. The addresses in tests/it/relay.rs name a port now.

--- a/src/cell/connector.rs
+++ b/src/cell/connector.rs
@@ -3,6 +3,7 @@
 //! Programs use [`Network`]; a simulation provides its own connections.
 
 use std::fmt::Debug;
+use std::num::NonZeroU16;
 use std::sync::Arc;
 
 use jsonrpsee::core::async_trait;
@@ -42,6 +43,34 @@
     pub life: String,
 }
 
+/// A value that names no entry.
+#[derive(Debug, thiserror::Error)]
+pub enum RecipientError {
+    /// The value does not describe an entry.
+    #[error("the value does not describe an entry: {0}")]
+    Unreadable(#[from] serde_json::Error),
+    /// The address is not that of a port.
+    #[error("address {0:?}: expected HOST:PORT, with a port from 1 to 65535")]
+    Address(String),
+}
+
+impl Recipient {
+    /// Decodes the value of an entry's registration.
+    ///
+    /// # Errors
+    ///
+    /// If the value names no entry that could be reached.
+    pub fn decode(value: &[u8]) -> Result<Recipient, RecipientError> {
+        let recipient: Recipient = serde_json::from_slice(value)?;
+        let port = recipient.address.rsplit_once(':').map(|(_, port)| port);
+        let port = port.and_then(|port| port.parse::<NonZeroU16>().ok());
+        match port {
+            Some(_) => Ok(recipient),
+            None => Err(RecipientError::Address(recipient.address)),
+        }
+    }
+}
+
 /// A connection to an entry.
 #[async_trait]
 pub trait Peer: Send + Sync {
--- a/src/cell/relay/peers.rs
+++ b/src/cell/relay/peers.rs
@@ -21,7 +21,10 @@
 use crate::cell::relay::call::Call;
 use crate::cell::relay::call::Reply;
 use crate::cell::relay::sample::Sample;
+use crate::log::excerpt;
+use crate::log::Throttle;
 use crate::store::Error;
+use crate::store::Item;
 use crate::store::LeaseId;
 use crate::store::Mutation;
 use crate::store::Store;
@@ -69,6 +72,8 @@
     process: String,
     connector: Arc<dyn Connector>,
     state: Mutex<State>,
+    /// Limits the log lines about registrations that name no entry.
+    odd_entries: Throttle,
     log: slog::Logger,
 }
 
@@ -96,6 +101,7 @@
             process: process.to_owned(),
             connector,
             state: Mutex::default(),
+            odd_entries: Throttle::default(),
             log,
         }))
     }
@@ -165,10 +171,8 @@
                 }
             };
             let others = listing.items.iter().filter(|item| item.key != own);
-            let others =
-                others.map(|item| serde_json::from_slice(&item.value));
             let others: Vec<Recipient> =
-                others.filter_map(Result::ok).collect();
+                others.filter_map(|item| self.decode(item)).collect();
             if sample.is_enough(others.len()) {
                 break others;
             }
@@ -178,6 +182,23 @@
         state.others = others;
     }
 
+    /// Decodes the registration of another entry.
+    fn decode(&self, item: &Item) -> Option<Recipient> {
+        match Recipient::decode(&item.value) {
+            Ok(entry) => Some(entry),
+            Err(error) => {
+                metrics::get().strange.add(1, &[label("what", "entry")]);
+                if self.0.odd_entries.try_acquire() {
+                    slog::warn!(self.0.log,
+                        "entry: a registration names no entry";
+                        "key" => &item.key, "error" => excerpt(error),
+                        "left_out" => self.0.odd_entries.take_suppressed());
+                }
+                None
+            }
+        }
+    }
+
     /// Asks peers to make a call. Returns `None` if none of them could.
     pub(super) async fn ask(
         &self,
--- a/tests/it/odd_entries.rs
+++ b/tests/it/odd_entries.rs
@@ -1,6 +1,12 @@
 //! Values of another writer among the keys that entries and agents read.
 
+use std::sync::Arc;
+use std::time::Duration;
+
+use landingvalve::cell::connector::Network;
+use landingvalve::cell::connector::Recipient;
 use landingvalve::cell::keys;
+use landingvalve::cell::relay::Peers;
 use landingvalve::cell::Admission;
 use landingvalve::graph::RunOutcome;
 use landingvalve::log;
@@ -27,6 +33,8 @@
 const LONG_BYTES: usize = 60_000;
 /// The longest line about a value.
 const MAX_LINE_BYTES: usize = 1000;
+/// The time by which an entry has read the registrations of the others.
+const FIRST_READ: Duration = Duration::from_secs(4);
 
 /// Returns values that no process of the system writes.
 fn odd_values() -> Vec<Vec<u8>> {
@@ -105,6 +113,36 @@
     entry.kill();
 }
 
+/// Guards against registrations that are dropped without a line, and against
+/// calls through an entry that cannot be there.
+#[tokio::test(start_paused = true)]
+async fn registrations_that_name_no_entry_are_told_and_passed_over() {
+    let store = Memory::default();
+    let lines = Lines::default();
+    for (number, value) in odd_values().into_iter().enumerate() {
+        write(&store, &keys::entry(&format!("odd{number}")), value).await;
+    }
+    let sound = Recipient {
+        address: "127.0.0.1:9".to_owned(),
+        life: "sound".to_owned(),
+    };
+    let value = serde_json::to_vec(&sound).expect("is written");
+    write(&store, &keys::entry("sound"), value).await;
+    let peers = Peers::new("entry", Arc::new(Network), lines.logger());
+    let own = Recipient {
+        address: "127.0.0.1:10".to_owned(),
+        life: "own".to_owned(),
+    };
+    let follow = tokio::spawn(peers.clone().follow(store.clone(), own));
+    tokio::time::sleep(FIRST_READ).await;
+    let known = format!("{peers:?}");
+    assert!(known.contains("127.0.0.1:9"), "{known}");
+    assert!(!known.contains("70800"), "{known}");
+    let told = lines.with("a registration names no entry");
+    assert!(told.len() == 1, "{told:?}");
+    follow.abort();
+}
+
 /// Writes each odd value below each prefix that processes read.
 async fn write_everywhere(store: &Memory, name: &str) {
     for (number, value) in odd_values().into_iter().enumerate() {
--- a/tests/it/relay.rs
+++ b/tests/it/relay.rs
@@ -209,10 +209,11 @@
         let relay = Relay::new(link.clone(), peers.clone(), log::none());
         let mut known =
             network.0.lock().unwrap_or_else(PoisonError::into_inner);
-        known.insert(name.clone(), Arc::new(relay.clone()));
+        let address = format!("{name}:1");
+        known.insert(address.clone(), Arc::new(relay.clone()));
         drop(known);
         let own = Recipient {
-            address: name,
+            address,
             life: String::new(),
         };
         tokio::spawn(peers.follow(relay.clone(), own));
