Claim: a value that nobody holds is replaced

Callers saw: jobs accepted and queued for good, also after a restart. Another writer had put a value without a lease at lv/planner: the planner stopped ('another has written') and nobody claimed again; no line said why.

Cause: whatever is at the claim's key counted as a claim of a live process, for ever. And a holder with nothing to write did not notice that its value was replaced, since its lease goes on.

Change: a value that cannot be read, or that no lease keeps (Store::is_unleased, asked only of a claim of another), is held by nobody. It is told in a throttled line and landingvalve_strange (what=claim), and replaced on the condition of the revision seen, so that the fencing token rises. Before that a process waits for 7 s. Meanwhile a former holder has stepped down: it watches its claim (one call each 2 s) and does not plan for longer than 5 s without having seen it. A holder that sees its own claim replaced claims again at once, as nobody else can have held it. Agents tell claims that name no planner.

--- a/src/cell/claim/mod.rs
+++ b/src/cell/claim/mod.rs
@@ -14,6 +14,7 @@
 use crate::cell::connector::Recipient;
 use crate::cell::keys;
 use crate::clock::BootInstant;
+use crate::log::excerpt;
 use crate::store::Compare;
 use crate::store::Error;
 use crate::store::Item;
@@ -42,6 +43,12 @@
 /// The share of the strongest process's cores from which a process counts as
 /// equally strong.
 const EQUAL_CORES_SHARE: f64 = 0.9;
+/// How long a holder plans without an answer that shows its claim in the store.
+pub(super) const UNSEEN_LIMIT: Duration = Duration::from_secs(5);
+/// How long a value in the claim's place that nobody holds is left there: until
+/// the holder of the claim before it has certainly stepped down. A store that
+/// is about to drop its history may show a change a second late.
+pub(super) const UNHELD_WAIT: Duration = Duration::from_secs(7);
 /// The longest that a renewal call may take.
 const RENEWAL_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -144,9 +151,24 @@
     Held(Claim),
     /// Another process holds the claim, or may hold it, as of this revision.
     Other(Revision),
+    /// A value of another writer that nobody holds is in the claim's place, as
+    /// of this revision.
+    Unheld(Revision, Unheld),
 }
 
-/// Tries to claim.
+/// Why a value in the claim's place is held by nobody.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum Unheld {
+    /// It names no process.
+    #[error("the value cannot be read: {0}")]
+    Unreadable(String),
+    /// It would stay although its writer has ended.
+    #[error("no lease is attached")]
+    Unleased,
+}
+
+/// Tries to claim. A value that nobody holds is replaced only if it was written
+/// at revision `past`.
 ///
 /// # Errors
 ///
@@ -154,22 +176,31 @@
 pub async fn try_claim(
     store: &impl Store,
     holder: &Holder,
+    past: Option<Revision>,
 ) -> Result<Attempt, Error> {
     let current = store.get(keys::CLAIM).await?;
+    let may_replace = |item: &Item| {
+        // The holder is an earlier run of this very process, which is over.
+        is_earlier_run(item, holder) || past == Some(item.modified)
+    };
     let condition = match &current {
         None => Compare::Modified(keys::CLAIM.to_owned(), 0),
-        // The holder is an earlier run of this very process, which is over.
         Some(item) if is_earlier_run(item, holder) => {
             Compare::Modified(keys::CLAIM.to_owned(), item.modified)
         }
-        Some(item) => return Ok(Attempt::Other(item.modified)),
+        Some(item) => match unheld(store, item).await? {
+            None => return Ok(Attempt::Other(item.modified)),
+            Some(_) if may_replace(item) => {
+                Compare::Modified(keys::CLAIM.to_owned(), item.modified)
+            }
+            Some(why) => return Ok(Attempt::Unheld(item.modified, why)),
+        },
     };
     let strongest = strongest(store).await?;
     if let Some(wait) = deferral(holder.cores, strongest) {
         tokio::time::sleep(wait).await;
         let current = store.get(keys::CLAIM).await?;
-        let other = current.filter(|item| !is_earlier_run(item, holder));
-        if let Some(item) = other {
+        if let Some(item) = current.filter(|item| !may_replace(item)) {
             return Ok(Attempt::Other(item.modified));
         }
     }
@@ -210,6 +241,23 @@
 }
 
 fn is_earlier_run(item: &Item, holder: &Holder) -> bool {
-    serde_json::from_slice::<Holder>(&item.value)
-        .is_ok_and(|current| current.process == holder.process)
+    decode(item).is_ok_and(|current| current.process == holder.process)
+}
+
+/// Decodes the holder of a claim.
+pub(super) fn decode(item: &Item) -> Result<Holder, serde_json::Error> {
+    serde_json::from_slice(&item.value)
+}
+
+/// Returns why nobody holds a value in the claim's place, if that is certain.
+/// A claim is written readable, and under a lease.
+async fn unheld(
+    store: &impl Store,
+    item: &Item,
+) -> Result<Option<Unheld>, Error> {
+    if let Err(error) = decode(item) {
+        return Ok(Some(Unheld::Unreadable(excerpt(error))));
+    }
+    let unleased = store.is_unleased(keys::CLAIM).await?;
+    Ok((unleased == Some(true)).then_some(Unheld::Unleased))
 }
--- a/src/cell/member/link.rs
+++ b/src/cell/member/link.rs
@@ -13,9 +13,12 @@
 use crate::cell::rpc::Answer;
 use crate::cell::worker::Worker;
 use crate::clock::BootInstant;
+use crate::log::excerpt;
 use crate::store::Item;
 use crate::store::Revision;
 use crate::store::Store;
+use crate::telemetry::metrics;
+use crate::telemetry::metrics::label;
 
 /// The time for a report's answer beyond the planner's own wait.
 const ANSWER_SLACK: Duration = Duration::from_millis(900);
@@ -85,8 +88,9 @@
             match event.await {
                 Ok(Ok(claim::Event::Replaced(item))) => {
                     failed = None;
-                    if let Some(holder) = decode(&item) {
-                        return (holder, item.modified);
+                    match claim::decode(&item) {
+                        Ok(holder) => return (holder, item.modified),
+                        Err(error) => self.log_odd_claim(&item, &error),
                     }
                 }
                 Ok(Ok(claim::Event::Free)) => failed = None,
@@ -99,6 +103,16 @@
         }
     }
 
+    /// Logs a claim that names no planner.
+    fn log_odd_claim(&self, item: &Item, error: &serde_json::Error) {
+        metrics::get().strange.add(1, &[label("what", "claim")]);
+        if self.0.odd_claims.try_acquire() {
+            slog::warn!(self.0.config.log, "agent: a claim cannot be read";
+                "revision" => item.modified, "error" => excerpt(error),
+                "left_out" => self.0.odd_claims.take_suppressed());
+        }
+    }
+
     /// Records a claim's fencing token. An agent that has just started knows
     /// none, and a worker that has seen a token lists nothing without one.
     fn learn_token(&self, token: Revision) {
@@ -187,7 +201,3 @@
         .min(MAX_BACK_OFF)
         .mul_f64(0.5 + fastrand::f64() / 2.0)
 }
-
-fn decode(item: &Item) -> Option<Holder> {
-    serde_json::from_slice(&item.value).ok()
-}
--- a/src/cell/member/mod.rs
+++ b/src/cell/member/mod.rs
@@ -31,6 +31,7 @@
 use crate::graph::Resources;
 use crate::graph::SharedStr;
 use crate::log::excerpt;
+use crate::log::Throttle;
 use crate::store::Store;
 use crate::telemetry::metrics;
 use crate::telemetry::metrics::label;
@@ -95,6 +96,8 @@
     report_now: Notify,
     /// Notified when the worker must be polled at once.
     poll_now: Notify,
+    /// Limits the log lines about claims that cannot be read.
+    odd_claims: Throttle,
 }
 
 /// An agent. Clones share their state.
@@ -116,6 +119,7 @@
             state: Mutex::new(State::new()),
             report_now: Notify::new(),
             poll_now: Notify::new(),
+            odd_claims: Throttle::default(),
         }))
     }
 
--- a/src/cell/relay/mod.rs
+++ b/src/cell/relay/mod.rs
@@ -224,6 +224,11 @@
         self.call(call).await?.item()
     }
 
+    /// Asked directly only: other entries do not pass this on.
+    async fn is_unleased(&self, key: &str) -> Result<Option<bool>, Error> {
+        self.direct.is_unleased(key).await
+    }
+
     async fn list(&self, prefix: &str) -> Result<Listing, Error> {
         let call = Call::List(prefix.to_owned());
         self.call(call).await?.listing()
--- a/src/cell/session.rs
+++ b/src/cell/session.rs
@@ -16,6 +16,7 @@
 use crate::cell::claim::Attempt;
 use crate::cell::claim::Claim;
 use crate::cell::claim::Holder;
+use crate::cell::claim::Unheld;
 use crate::cell::configuration::Source;
 use crate::cell::cursor::Cursor;
 use crate::cell::keys;
@@ -48,6 +49,9 @@
 const WATCH_WAIT: Duration = Duration::from_millis(2000);
 /// The delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// How long a planner whose write was refused waits for what is in its claim's
+/// place.
+const REPLACED_WAIT: Duration = Duration::from_millis(500);
 /// The longest that a call without a wait may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
 /// The JSON-RPC error code for a planner that has stopped.
@@ -154,6 +158,25 @@
     }
 }
 
+/// What a session knows of the values of others in the claim's place.
+struct Others {
+    claims: claim::Watch,
+    /// The revision of the value that may be replaced if nobody holds it.
+    past: Option<Revision>,
+    /// Limits the log lines about values that nobody holds.
+    throttle: Throttle,
+}
+
+impl Others {
+    fn new() -> Others {
+        Others {
+            claims: claim::Watch::new(CLAIM_WATCH_WAIT),
+            past: None,
+            throttle: Throttle::default(),
+        }
+    }
+}
+
 /// An entry's role as a candidate for the claim, and as its holder.
 #[derive(Clone)]
 pub struct Session<S> {
@@ -177,13 +200,13 @@
     /// Claims whenever the claim is free, and plans while it holds, until
     /// `stop` is set.
     pub async fn run(self, stop: watch::Receiver<bool>) {
-        let mut claims = claim::Watch::new(CLAIM_WATCH_WAIT);
+        let mut others = Others::new();
         while !*stop.borrow() {
             // A planner that reaches the store only through other entries
             // would be the first to lose contact, so the claim is left to
             // others.
             match self.store.is_direct() {
-                true => self.try_once(&mut claims, stop.clone()).await,
+                true => self.try_once(&mut others, stop.clone()).await,
                 false => pause(RETRY_DELAY).await,
             }
         }
@@ -191,16 +214,19 @@
 
     async fn try_once(
         &self,
-        claims: &mut claim::Watch,
+        others: &mut Others,
         mut stop: watch::Receiver<bool>,
     ) {
-        let attempt = claim::try_claim(&self.store, &self.holder);
+        let past = others.past;
+        let attempt = claim::try_claim(&self.store, &self.holder, past);
         match tokio::time::timeout(CALL_TIMEOUT * 2, attempt).await {
             Ok(Ok(Attempt::Held(claim))) => {
                 count_claim("made");
                 slog::info!(self.log, "planner: has claimed";
                     "token" => claim.token);
                 let planned = self.plan(&claim, stop).await;
+                // Only this process could have held the claim until then.
+                others.past = *planned.as_ref().unwrap_or(&None);
                 self.host.set(None);
                 count_claim("given up");
                 slog::info!(self.log, "planner: has stepped down";
@@ -217,7 +243,12 @@
             }
             Ok(Ok(Attempt::Other(revision))) => tokio::select! {
                 biased;
-                () = self.wait_until_free(revision, claims) => {}
+                () = self.wait_until_free(revision, &mut others.claims) => {}
+                _ = stop.changed() => {}
+            },
+            Ok(Ok(Attempt::Unheld(revision, why))) => tokio::select! {
+                biased;
+                () = self.wait_past(revision, &why, others) => {}
                 _ = stop.changed() => {}
             },
             Ok(Err(_)) | Err(_) => pause(RETRY_DELAY * 2).await,
@@ -243,17 +274,39 @@
         }
     }
 
+    /// Waits until a value that nobody holds may be replaced, or is gone.
+    async fn wait_past(
+        &self,
+        revision: Revision,
+        why: &Unheld,
+        others: &mut Others,
+    ) {
+        metrics::get().strange.add(1, &[label("what", "claim")]);
+        if others.throttle.try_acquire() {
+            slog::warn!(self.log, "planner: nobody holds the claim";
+                "revision" => revision, "why" => %why,
+                "left_out" => others.throttle.take_suppressed());
+        }
+        let free = self.wait_until_free(revision, &mut others.claims);
+        let waited = tokio::time::timeout(claim::UNHELD_WAIT, free).await;
+        others.past = waited.is_err().then_some(revision);
+    }
+
+    /// Plans until the claim is lost or `stop` is set. Returns the revision of
+    /// the value that has replaced the claim, if one has.
     async fn plan(
         &self,
         claim: &Claim,
         mut stop: watch::Receiver<bool>,
-    ) -> Result<(), Error> {
+    ) -> Result<Option<Revision>, Error> {
         let claimed = Instant::now();
+        let mut replaced = std::pin::pin!(self.wait_until_replaced(claim));
         let (progress, parts, intake) = tokio::select! {
             biased;
             read = self.read_records(claim) => read?,
-            () = self.renew(claim) => return Ok(()),
-            _ = stop.changed() => return Ok(()),
+            by = &mut replaced => return Ok(by),
+            () = self.renew(claim) => return Ok(None),
+            _ = stop.changed() => return Ok(None),
         };
         let after = intake.revision;
         let (claim_lost, mut lost_signal) = watch::channel(false);
@@ -275,22 +328,57 @@
             Err(error) => {
                 slog::error!(self.log, "planner: cannot start";
                     "error" => %error);
-                return Ok(());
+                return Ok(None);
             }
         };
         let took = claimed.elapsed().as_secs_f64();
         metrics::get().takeover_seconds.record(took, &[]);
         self.host.set(Some(planner.clone()));
-        tokio::select! {
+        let by = tokio::select! {
             biased;
-            () = self.renew(claim) => {}
-            () = self.follow_intake(&planner, after) => {}
-            _ = lost_signal.changed() => {}
-            _ = stop.changed() => {}
-        }
+            by = &mut replaced => by,
+            () = self.renew(claim) => None,
+            () = self.follow_intake(&planner, after) => None,
+            _ = lost_signal.changed() => {
+                let by = tokio::time::timeout(REPLACED_WAIT, replaced);
+                by.await.unwrap_or(None)
+            }
+            _ = stop.changed() => None,
+        };
         self.host.set(None);
         planner.stop(None);
-        Ok(())
+        Ok(by)
+    }
+
+    /// Waits until the claim is no longer in the store, or was not seen there
+    /// for [`claim::UNSEEN_LIMIT`]. Returns the revision of the value in its
+    /// place, if there is one.
+    ///
+    /// A renewal does not show that: the lease goes on although another writer
+    /// has replaced the value.
+    async fn wait_until_replaced(&self, claim: &Claim) -> Option<Revision> {
+        let mut claims = claim::Watch::new(WATCH_WAIT);
+        claims.follow(claim.token);
+        let mut until = Instant::now() + claim::UNSEEN_LIMIT;
+        loop {
+            let next = claims.next(&self.store);
+            let by = match tokio::time::timeout_at(until, next).await {
+                Ok(Ok(claim::Event::Same)) => {
+                    until = Instant::now() + claim::UNSEEN_LIMIT;
+                    continue;
+                }
+                Ok(Ok(claim::Event::Replaced(item))) => Some(item.modified),
+                Ok(Ok(claim::Event::Free)) | Err(_) => None,
+                Ok(Err(_)) => {
+                    pause(RETRY_DELAY).await;
+                    continue;
+                }
+            };
+            slog::warn!(self.log,
+                "planner: its claim is not seen in the store";
+                "token" => claim.token, "in_its_place" => by);
+            return by;
+        }
     }
 
     /// Reads the progress and the accepted jobs that earlier planners and all
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -185,13 +185,17 @@
     ///
     /// If the store cannot be reached or its response is lost.
     pub async fn get(&self, key: &str) -> Result<Option<Item>, Error> {
+        Ok(self.read(key).await?.map(Item::from))
+    }
+
+    async fn read(&self, key: &str) -> Result<Option<api::KeyValue>, Error> {
         let request = api::RangeRequest {
             key: key.into(),
             ..Default::default()
         };
         let range: api::RangeResponse =
             self.post("/v3/kv/range", &request).await?;
-        Ok(range.kvs.into_iter().next().map(Item::from))
+        Ok(range.kvs.into_iter().next())
     }
 
     /// Lists the keys that start with `prefix` and were last written at or
@@ -347,6 +351,10 @@
         Client::get(self, key).await
     }
 
+    async fn is_unleased(&self, key: &str) -> Result<Option<bool>, Error> {
+        Ok(self.read(key).await?.map(|kv| kv.lease == 0))
+    }
+
     async fn list(&self, prefix: &str) -> Result<Listing, Error> {
         Client::list(self, prefix, 0).await
     }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -43,6 +43,16 @@
         key: &str,
     ) -> impl Future<Output = Result<Option<Item>, Error>> + Send;
 
+    /// Returns whether a key is attached to no lease, so that it stays after
+    /// its writer has ended. Returns `None` if the key does not exist or the
+    /// store does not tell.
+    fn is_unleased(
+        &self,
+        _key: &str,
+    ) -> impl Future<Output = Result<Option<bool>, Error>> + Send {
+        std::future::ready(Ok(None))
+    }
+
     /// Lists the keys that start with `prefix`.
     fn list(
         &self,
--- a/tests/it/memory.rs
+++ b/tests/it/memory.rs
@@ -218,6 +218,12 @@
         Ok(data.items.get(key).map(|(item, _)| item.clone()))
     }
 
+    async fn is_unleased(&self, key: &str) -> Result<Option<bool>, Error> {
+        self.lock().reads += 1;
+        let data = self.begin_call()?;
+        Ok(data.items.get(key).map(|(_, lease)| *lease == 0))
+    }
+
     async fn list(&self, prefix: &str) -> Result<Listing, Error> {
         let data = self.begin_call()?;
         let items = data.items.values().map(|(item, _)| item.clone());
--- a/tests/it/odd_entries.rs
+++ b/tests/it/odd_entries.rs
@@ -24,17 +24,21 @@
 use crate::cell::Memory;
 use crate::cell::SUCCEEDED;
 use crate::explain::Lines;
+use crate::support::until;
 
 /// No lease.
 const UNLEASED: LeaseId = 0;
 /// The depth of a value that is nested very deeply.
 const DEPTH: usize = 30_000;
+
 /// The size of a value that is much longer than a line should be.
 const LONG_BYTES: usize = 60_000;
 /// The longest line about a value.
 const MAX_LINE_BYTES: usize = 1000;
 /// The time by which an entry has read the registrations of the others.
 const FIRST_READ: Duration = Duration::from_secs(4);
+/// The time within which another entry replaces a claim that nobody holds.
+const TAKEN_WITHIN: Duration = Duration::from_secs(9);
 
 /// Returns values that no process of the system writes.
 fn odd_values() -> Vec<Vec<u8>> {
@@ -70,6 +74,69 @@
     wait_for_stage(&admission, id, SUCCEEDED).await;
 }
 
+/// Waits until a process holds the claim.
+async fn wait_for_holder(store: &Memory, process: &str) {
+    let held = || async {
+        let holder = store.claim_holder()?;
+        (holder.process == process).then_some(())
+    };
+    until("the claim is held", held).await;
+}
+
+/// Guards against a site without a planner for good. The planner stopped, and
+/// nobody claimed again.
+#[tokio::test]
+async fn a_value_in_the_place_of_a_held_claim_does_not_end_planning() {
+    let store = Memory::default();
+    let worker = FakeWorker::with_births();
+    let entry = Entry::start("entry", &store).await;
+    let agent = start_agent(&store, &worker);
+    run_job("a", &store, &worker).await;
+    for (number, value) in odd_values().into_iter().enumerate() {
+        write(&store, keys::CLAIM, value).await;
+        // The planner has nothing to write meanwhile.
+        wait_for_holder(&store, "entry").await;
+        run_job(&format!("b{number}"), &store, &worker).await;
+    }
+    assert_eq!(worker.started().len(), 14, "{:?}", worker.started());
+    agent.abort();
+    entry.kill();
+}
+
+/// Guards against the same at the start of all entries.
+#[tokio::test]
+async fn a_value_in_the_place_of_the_first_claim_does_not_prevent_planning() {
+    let store = Memory::default();
+    let worker = FakeWorker::with_births();
+    let value = odd_values().swap_remove(0);
+    write(&store, keys::CLAIM, value).await;
+    let entries = [
+        Entry::start("first", &store).await,
+        Entry::start("second", &store).await,
+    ];
+    let agent = start_agent(&store, &worker);
+    run_job("a", &store, &worker).await;
+    agent.abort();
+    for entry in entries {
+        entry.kill();
+    }
+}
+
+/// A claim of a live process is kept by its lease.
+#[tokio::test]
+async fn a_claim_under_a_lease_is_left_to_its_holder() {
+    let store = Memory::default();
+    let first = Entry::start("first", &store).await;
+    wait_for_holder(&store, "first").await;
+    let second = Entry::start("second", &store).await;
+    let claim = || async { store.get(keys::CLAIM).await.expect("answers") };
+    let before = claim().await.expect("is held").modified;
+    tokio::time::sleep(TAKEN_WITHIN).await;
+    assert_eq!(claim().await.expect("is held").modified, before);
+    first.kill();
+    second.kill();
+}
+
 /// Odd values beside sound ones, read by a planner that has just claimed and by
 /// one that follows changes.
 #[tokio::test]
--- a/tests/it/suspended.rs
+++ b/tests/it/suspended.rs
@@ -55,7 +55,7 @@
             life: "life".to_owned(),
             cores: 1.0,
         };
-        let attempt = claim::try_claim(&store, &holder).await;
+        let attempt = claim::try_claim(&store, &holder, None).await;
         let Ok(Attempt::Held(claim)) = attempt else {
             panic!("no other process claims: {attempt:?}");
         };
