Planner: a stored job with a number too large ends no process

Callers saw: no job is planned. A value below lv/in/ that decodes but has numbers that no entry accepts ended the planner, or its whole process, again and again, in each process that claimed.

Cause: the planner decoded a stored job without the check that entries make, and computed with its times and its stretch whatever they are.

What no entry accepts is told as before, and counted (landingvalve_strange, what=job).

Test: odd_entries::a_job_with_a_number_that_no_entry_accepts_stops_nothing replaces each number of a job by five extreme ones; before, with 4 GB of memory: 'memory allocation of bytes failed', the process aborts; with Job::check alone: 'cannot convert float seconds to Duration: value is either too big or NaN', the planner never gets past it.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -21,6 +21,7 @@
 mod cursor;
 mod decision_log;
 mod inquiry;
+mod intake;
 pub mod keys;
 pub mod member;
 pub mod planner;
--- a/src/cell/planner/mod.rs
+++ b/src/cell/planner/mod.rs
@@ -17,6 +17,7 @@
 use crate::cell::claim::Claim;
 use crate::cell::configuration::Source;
 use crate::cell::decision_log::Recorder;
+use crate::cell::intake;
 use crate::cell::keys;
 use crate::cell::keys::Intake;
 use crate::cell::record::Head;
@@ -43,6 +44,7 @@
 use crate::store::Listing;
 use crate::store::Store;
 use crate::telemetry::metrics;
+use crate::telemetry::metrics::label;
 
 /// How long an agent's report waits for orders.
 pub const REPORT_HOLD: Duration = Duration::from_millis(1000);
@@ -352,7 +354,7 @@
     }
 
     fn accept(&mut self, id: &str, value: &[u8], now: Timestamp) {
-        match serde_json::from_slice::<Job>(value) {
+        match intake::decode(id, value) {
             Ok(job) => {
                 let progress = self.unclaimed_progress.remove(id);
                 let age = now.wall.duration_since(job.accepted);
@@ -365,9 +367,12 @@
                     "token" => self.claim.token);
                 self.scheduler.accept_job(job, progress, now);
             }
-            Err(error) => slog::error!(self.log,
-                "planner: a job cannot be decoded"; "job" => id,
-                "error" => excerpt(error)),
+            Err(error) => {
+                metrics::get().strange.add(1, &[label("what", "job")]);
+                slog::error!(self.log,
+                    "planner: a job cannot be decoded"; "job" => id,
+                    "error" => excerpt(error));
+            }
         }
     }
 
--- a/tests/it/odd_entries.rs
+++ b/tests/it/odd_entries.rs
@@ -2,17 +2,22 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use landingvalve::cell::connector::Network;
 use landingvalve::cell::connector::Recipient;
 use landingvalve::cell::keys;
 use landingvalve::cell::relay::Peers;
 use landingvalve::cell::Admission;
+use landingvalve::graph::Job;
+use landingvalve::graph::Repeat;
 use landingvalve::graph::RunOutcome;
 use landingvalve::log;
 use landingvalve::store::LeaseId;
 use landingvalve::store::Mutation;
 use landingvalve::store::Store;
+use serde_json::json;
+use serde_json::Value;
 
 use crate::cell::deadline;
 use crate::cell::job;
@@ -156,6 +161,72 @@
     entry.kill();
 }
 
+/// Returns the values that come of a value by the replacement of one number in
+/// it by an extreme one.
+fn with_extreme_numbers(value: &Value) -> Vec<Value> {
+    let extremes = [json!(u64::MAX), json!(i64::MAX), json!(u32::MAX)];
+    let extremes = extremes.into_iter().chain([json!(1e308), json!(-1)]);
+    match value {
+        Value::Number(_) => extremes.collect(),
+        Value::Array(items) => {
+            let odd = |at: usize| {
+                let one = with_extreme_numbers(&items[at]).into_iter();
+                one.map(move |odd| {
+                    let mut items = items.clone();
+                    items[at] = odd;
+                    Value::Array(items)
+                })
+            };
+            (0..items.len()).flat_map(odd).collect()
+        }
+        Value::Object(fields) => {
+            let odd = |name: &String| {
+                let (name, fields) = (name.clone(), fields.clone());
+                let one = with_extreme_numbers(&fields[&name]).into_iter();
+                one.map(move |odd| {
+                    let mut fields = fields.clone();
+                    fields.insert(name.clone(), odd);
+                    Value::Object(fields)
+                })
+            };
+            fields.keys().flat_map(odd).collect()
+        }
+        _ => Vec::new(),
+    }
+}
+
+/// Guards against planners that end again and again: of their memory, for a job
+/// of 4 billion tasks, or of a time that does not exist.
+#[tokio::test]
+async fn a_job_with_a_number_that_no_entry_accepts_stops_nothing() {
+    let store = Memory::default();
+    let worker = FakeWorker::with_births();
+    let repeat = Repeat {
+        times: 10_000,
+        start: SystemTime::now(),
+        interval: Duration::from_secs(3600),
+    };
+    let sound = Job {
+        pool: "elsewhere".into(),
+        repeat: Some(repeat),
+        ..job("odd")
+    };
+    let sound = serde_json::to_value(&sound).expect("is encoded");
+    for (number, mut odd) in
+        with_extreme_numbers(&sound).into_iter().enumerate()
+    {
+        let name = format!("odd{number}");
+        odd["id"] = json!(name);
+        let value = serde_json::to_vec(&odd).expect("is encoded");
+        write(&store, &keys::job(&name), value).await;
+    }
+    let entry = Entry::start("entry", &store).await;
+    let agent = start_agent(&store, &worker);
+    run_job("a", &store, &worker).await;
+    agent.abort();
+    entry.kill();
+}
+
 /// Guards against lines of 60 kB, which repeated the values that they were
 /// about.
 #[tokio::test]
