Agent: a report without a birth does not shut out those with one

Callers saw: an accepted job stays queued though a sound worker is empty. A report of another writer without born had come first, or while the worker did not answer.

Cause: the name alone then counted as the worker's life. The worker's answers confirmed it, and its own reports, which name their birth, counted as those of another life for good; its pool and room stayed those of the other writer.

Change: a report without a birth is not applied to a life that has one; and a report whose birth is the one that the worker's answers name replaces a life that is known by its name alone.

Test: odd_reports::a_report_without_a_birth_does_not_shut_out_those_with_one; before, on: 'never came: the wanted number of tasks runs'.

--- a/src/cell/member/state.rs
+++ b/src/cell/member/state.rs
@@ -132,7 +132,13 @@
         self.count_use(now);
         let view = match &mut self.worker {
             Some(view) if view.heartbeat.life == heartbeat.life => view,
-            Some(view) if view.is_confirmed(now) => {
+            Some(view) if view.lacks_birth_of(&heartbeat.life) => {
+                return self.conflict(Update::Conflict, now);
+            }
+            Some(view)
+                if view.is_confirmed(now)
+                    && !view.answers_as(&heartbeat.life) =>
+            {
                 return self.conflict(Update::Conflict, now);
             }
             _ => {
@@ -379,6 +385,7 @@
             return false;
         }
         view.mark_alive(now);
+        view.answered_birth = snapshot.birth;
         let recovered = view.is_unresponsive();
         view.failed_polls = 0;
         // A worker that answers has not ended, even if it said goodbye.
--- a/src/cell/member/view.rs
+++ b/src/cell/member/view.rs
@@ -9,6 +9,7 @@
 use crate::cell::member::goodbye::Goodbye;
 use crate::cell::member::Heartbeat;
 use crate::cell::worker::WorkerTime;
+use crate::graph::Birth;
 use crate::graph::Ended;
 use crate::graph::Life;
 use crate::graph::Lists;
@@ -148,6 +149,8 @@
     pub failed_polls: u32,
     /// The latest time until which any run may continue.
     pub leased_until: Option<Instant>,
+    /// The birth that the last answered poll has named.
+    pub answered_birth: Option<Birth>,
     /// Why the life counts as over, if it does.
     pub over: Option<Over>,
     /// Whether the worker's process was seen to be down.
@@ -198,6 +201,7 @@
             // An earlier process of this agent may have given a lease of this
             // length.
             leased_until: Some(now + lease),
+            answered_birth: None,
             over: None,
             down: false,
             goodbye: None,
@@ -271,6 +275,25 @@
         }
     }
 
+    /// Returns whether a heartbeat of `life` lacks the birth that the known
+    /// life has under the same name. A worker that names its birth does so in
+    /// every heartbeat.
+    pub(super) fn lacks_birth_of(&self, life: &Life) -> bool {
+        let known = &self.heartbeat.life;
+        let same_name = known.name() == life.name();
+        let lacks = known.birth().is_some() && life.birth().is_none();
+        same_name && lacks && !self.is_over()
+    }
+
+    /// Returns whether the worker's answers name the birth of `life` while the
+    /// last heartbeat named none, and so was not from the worker.
+    pub(super) fn answers_as(&self, life: &Life) -> bool {
+        let known = &self.heartbeat.life;
+        let same_name = known.name() == life.name();
+        let named = known.birth().is_none() && life.birth().is_some();
+        same_name && named && self.answered_birth == life.birth()
+    }
+
     /// Returns whether a heartbeat with this sequence comes after the last
     /// one.
     ///
--- a/tests/it/odd_reports.rs
+++ b/tests/it/odd_reports.rs
@@ -23,6 +23,7 @@
 use crate::cell::FakeWorker;
 use crate::cell::Memory;
 use crate::cell::SUCCEEDED;
+use crate::support::until;
 
 /// The sequence of a writer that has reported each 1.5 s for two hours.
 const FOREIGN_SEQUENCE: u64 = 4800;
@@ -109,3 +110,33 @@
     agent.abort();
     entry.kill();
 }
+
+/// Guards against a worker that gets no work for good: a report without its
+/// birth came first, and the worker's own counted as those of another life.
+#[tokio::test]
+async fn a_report_without_a_birth_does_not_shut_out_those_with_one() {
+    let store = Memory::default();
+    let worker = FakeWorker::with_births();
+    let entry = Entry::start("entry", &store).await;
+    let agent = member("agent", &store, &worker);
+    let unborn = Heartbeat {
+        life: "life".into(),
+        pool: "elsewhere".into(),
+        ..heartbeat(&worker, 1)
+    };
+    agent.heartbeat(unborn.clone());
+    let running = tokio::spawn({
+        let agent = agent.clone();
+        async move { agent.run().await }
+    });
+    let answered = || async { (worker.polls() >= 2).then_some(()) };
+    until("the worker answers", answered).await;
+    running.abort();
+    let running = run(&agent, &worker, 1);
+    run_job("a", &store, &worker).await;
+    agent.heartbeat(unborn);
+    run_job("b", &store, &worker).await;
+    assert_eq!(worker.started().len(), 4, "{:?}", worker.started());
+    running.abort();
+    entry.kill();
+}
