--- a/src/cell/member/mod.rs
+++ b/src/cell/member/mod.rs
@@ -30,6 +30,8 @@
 use crate::graph::Life;
 use crate::graph::Resources;
 use crate::graph::SharedStr;
+use crate::log::excerpt;
+use crate::log::Throttle;
 use crate::store::Store;
 use crate::telemetry::metrics;
 use crate::telemetry::metrics::label;
@@ -77,6 +79,14 @@
     pub time: Option<WorkerTime>,
 }
 
+impl Heartbeat {
+    /// Returns the time until which a leaving worker stays at least. One that
+    /// no clock can show says nothing.
+    fn stays_until(&self, now: Instant) -> Option<Instant> {
+        now.checked_add(self.remaining?)
+    }
+}
+
 struct Inner<W, S> {
     config: Config,
     worker: W,
@@ -86,6 +96,8 @@
     report_now: Notify,
     /// Notified when the worker must be polled at once.
     poll_now: Notify,
+    /// Limits the log lines about claims that cannot be read.
+    odd_claims: Throttle,
 }
 
 /// An agent. Clones share their state.
@@ -107,6 +119,7 @@
             state: Mutex::new(State::new()),
             report_now: Notify::new(),
             poll_now: Notify::new(),
+            odd_claims: Throttle::default(),
         }))
     }
 
@@ -124,6 +137,7 @@
         let now = Instant::now();
         let life = heartbeat.life.clone();
         let leaving = heartbeat.leaving;
+        let sequence = heartbeat.sequence;
         let lease = self.0.config.lease;
         match self.lock().apply_heartbeat(heartbeat, lease, now) {
             state::Update::NewLife => {
@@ -147,6 +161,12 @@
                 // A poll shows whether the known life still answers.
                 self.0.poll_now.notify_one();
             }
+            state::Update::OutOfOrder => {
+                metrics::get().strange.add(1, &[label("what", "order")]);
+                slog::warn!(self.0.config.log,
+                    "agent: a heartbeat does not follow the last one";
+                    "life" => &*life, "sequence" => sequence);
+            }
             state::Update::None => {}
         }
     }
@@ -156,7 +176,7 @@
     pub fn worker_left(&self, name: &str) {
         let new = self.lock().mark_goodbye(&Life::from(name));
         slog::info!(self.0.config.log, "agent: the worker said goodbye";
-            "life" => name, "new" => new);
+            "life" => excerpt(name), "new" => new);
         if new {
             self.0.poll_now.notify_one();
         }
--- a/src/cell/member/view.rs
+++ b/src/cell/member/view.rs
@@ -9,6 +9,7 @@
 use crate::cell::member::goodbye::Goodbye;
 use crate::cell::member::Heartbeat;
 use crate::cell::worker::WorkerTime;
+use crate::graph::Birth;
 use crate::graph::Ended;
 use crate::graph::Life;
 use crate::graph::Lists;
@@ -37,6 +38,13 @@
 /// speed is unknown, in percent: the planner estimates times from it.
 const REPORTED_SHARE: f64 = 10.0;
 
+/// How long a heartbeat decides which ones come after it. A worker that is
+/// there sends the next one much sooner, and none of its calls is under way for
+/// as long.
+const ORDER_LIFETIME: Duration = Duration::from_secs(4);
+/// The most by which a sequence can rise meanwhile: 25 heartbeats a second.
+const MAX_SEQUENCE_STEP: u64 = 100;
+
 /// A run of a task.
 pub type Key = (Task, Run);
 
@@ -102,6 +110,8 @@
 #[derive(Clone, Debug)]
 pub struct View {
     pub heartbeat: Heartbeat,
+    /// Until when only the heartbeats that follow this one are applied.
+    ordered_until: Instant,
     /// The time until which a leaving worker stays at least.
     pub stays_until: Option<Instant>,
     /// The worker's time, and when it was received: the worker's clock was
@@ -141,6 +151,8 @@
     pub failed_polls: u32,
     /// The latest time until which any run may continue.
     pub leased_until: Option<Instant>,
+    /// The birth that the last answered poll has named.
+    pub answered_birth: Option<Birth>,
     /// Why the life counts as over, if it does.
     pub over: Option<Over>,
     /// Whether the worker's process was seen to be down.
@@ -169,9 +181,10 @@
         now: Instant,
     ) -> View {
         View {
-            stays_until: heartbeat.remaining.map(|remaining| now + remaining),
+            stays_until: heartbeat.stays_until(now),
             clock: heartbeat.time.map(|time| (time, now)),
             heartbeat,
+            ordered_until: now + ORDER_LIFETIME,
             lists: None,
             listed_at: None,
             last_ended: Vec::new(),
@@ -191,6 +204,7 @@
             // An earlier process of this agent may have given a lease of this
             // length.
             leased_until: Some(now + lease),
+            answered_birth: None,
             over: None,
             down: false,
             goodbye: None,
@@ -264,6 +278,48 @@
         }
     }
 
+    /// Returns whether a heartbeat of `life` lacks the birth that the known
+    /// life has under the same name. A worker that names its birth does so in
+    /// every heartbeat.
+    pub(super) fn lacks_birth_of(&self, life: &Life) -> bool {
+        let known = &self.heartbeat.life;
+        let same_name = known.name() == life.name();
+        let lacks = known.birth().is_some() && life.birth().is_none();
+        same_name && lacks && !self.is_over()
+    }
+
+    /// Returns whether the worker's answers name the birth of `life` while the
+    /// last heartbeat named none, and so was not from the worker.
+    pub(super) fn answers_as(&self, life: &Life) -> bool {
+        let known = &self.heartbeat.life;
+        let same_name = known.name() == life.name();
+        let named = known.birth().is_none() && life.birth().is_some();
+        same_name && named && self.answered_birth == life.birth()
+    }
+
+    /// Returns whether a heartbeat with this sequence comes after the last
+    /// one.
+    ///
+    /// A lower one is late, and one that is far ahead is not from this worker.
+    /// If nothing follows the last one for [`ORDER_LIFETIME`], it was itself
+    /// not from this worker, and whatever comes then is newer.
+    pub(super) fn is_followed_by(&self, sequence: u64, now: Instant) -> bool {
+        let step = sequence.checked_sub(self.heartbeat.sequence);
+        let follows =
+            step.is_some_and(|s| (1..=MAX_SEQUENCE_STEP).contains(&s));
+        follows || now >= self.ordered_until
+    }
+
+    /// Replaces the last heartbeat by one that comes after it.
+    pub(super) fn replace_heartbeat(
+        &mut self,
+        heartbeat: Heartbeat,
+        now: Instant,
+    ) {
+        self.heartbeat = heartbeat;
+        self.ordered_until = now + ORDER_LIFETIME;
+    }
+
     /// Records a sign of life from the worker.
     pub fn mark_alive(&mut self, now: Instant) {
         self.last_contact = now;
@@ -315,7 +371,7 @@
     pub fn worker_time_at(&self, instant: Instant) -> Option<WorkerTime> {
         let (time, received) = self.clock?;
         let ahead = instant.saturating_duration_since(received);
-        Some(time + ahead.as_millis() as u64)
+        Some(time.saturating_add(ahead.as_millis() as WorkerTime))
     }
 
     /// Returns whether a run is listed.
--- a/src/cell/planner/mod.rs
+++ b/src/cell/planner/mod.rs
@@ -18,6 +18,7 @@
 use crate::cell::claim::Claim;
 use crate::cell::configuration::Source;
 use crate::cell::decision_log::Recorder;
+use crate::cell::intake;
 use crate::cell::keys;
 use crate::cell::keys::Intake;
 use crate::cell::planner::delivery::Deliveries;
@@ -39,11 +40,13 @@
 use crate::graph::Step;
 use crate::graph::Ticket;
 use crate::graph::Timestamp;
+use crate::log::excerpt;
 use crate::store::Change;
 use crate::store::Item;
 use crate::store::Listing;
 use crate::store::Store;
 use crate::telemetry::metrics;
+use crate::telemetry::metrics::label;
 
 /// How long an agent's report waits for orders.
 pub const REPORT_HOLD: Duration = Duration::from_millis(1000);
@@ -308,7 +311,7 @@
     ) {
         slog::error!(self.log,
             "planner: a job's progress cannot be decoded";
-            "key" => key, "error" => %error);
+            "key" => key, "error" => excerpt(error));
         self.unreadable.insert(id);
     }
 
@@ -357,7 +360,7 @@
     }
 
     fn accept(&mut self, id: &str, value: &[u8], now: Timestamp) {
-        match serde_json::from_slice::<Job>(value) {
+        match intake::decode(id, value) {
             Ok(job) => {
                 let progress = self.unclaimed_progress.remove(id);
                 let age = now.wall.duration_since(job.accepted);
@@ -370,9 +373,12 @@
                     "token" => self.claim.token);
                 self.scheduler.accept_job(job, progress, now);
             }
-            Err(error) => slog::error!(self.log,
-                "planner: a job cannot be decoded"; "job" => id,
-                "error" => %error),
+            Err(error) => {
+                metrics::get().strange.add(1, &[label("what", "job")]);
+                slog::error!(self.log,
+                    "planner: a job cannot be decoded"; "job" => id,
+                    "error" => excerpt(error));
+            }
         }
     }
 
