Lasting tasks: don't wait for better places for good

Callers saw a lasting task that had failed once stay away for 48 s (20 s and more in the test), beside a worker with four times the room it needs. Three preferences left that worker out without any limit of time: the unit had failed there and full workers could hold it "when empty", the worker was one of the fixed share that is left empty for urgent work, or it was in quarantine, for twice as long each time, since a lasting task never ends as done.

A lasting unit now waits 2 s for such a better place, as all units do on a pool that is mostly idle. After that the preferences hold only while the unit finds as good a place under them now. What is left empty for urgent work stays so while other workers have room, and urgent work that needs the room stops the task as it does others. The count of free places respects how many tasks of the step a worker may still run.

Failed before, on: lasting_task_stays_away_while_a_worker_is_left_empty: "away for 20s" lasting_task_stays_away_from_the_only_worker_with_room_as_it_failed_there: "away for 20s" lasting_tasks_stay_away_from_the_worker_on_which_they_fail_by_turns: "second, round 0: 4s" urgent_job_begins_beside_a_lasting_task_on_the_kept_worker and lasting_task_waits_for_the_worker_that_its_sibling_must_not_share: "assertion `left == right` failed".

--- a/src/graph/place.rs
+++ b/src/graph/place.rs
@@ -44,6 +44,9 @@
     /// Whether the unit may use resources that are reserved for others but
     /// unoccupied.
     pub may_use_reserved: bool,
+    /// Whether the unit takes any room that there is now rather than wait for
+    /// a better place.
+    pub takes_any_room: bool,
     /// The expected run time of the unit on a worker of middle speed.
     pub expected: Duration,
     /// The least speed of a worker on which the unit is in time, if it starts
@@ -77,6 +80,7 @@
             avoid: unit.avoided.clone(),
             ready_since: unit.ready_since,
             may_use_reserved: false,
+            takes_any_room: false,
             expected,
             needed_speed: None,
             last_attempt: record.is_last_attempt(key),
@@ -90,6 +94,14 @@
         worker.capacity.times(&self.charge).min(max_tasks)
     }
 
+    /// Returns the resources of a worker that the unit may use now.
+    pub fn room(&self, worker: &Worker) -> Resources {
+        match self.may_use_reserved {
+            true => worker.unoccupied(),
+            false => worker.free(),
+        }
+    }
+
     /// Returns the step that the unit belongs to.
     pub fn step_key(&self) -> StepKey {
         (self.id.clone(), self.key.time, self.key.step)
@@ -135,12 +147,9 @@
         // the workers detects that without copying the candidates for each
         // rack.
         let all = self.workers.values();
-        let free =
-            all.filter(|w| w.pool == request.pool)
-                .map(|worker| match request.may_use_reserved {
-                    true => worker.unoccupied(),
-                    false => worker.free(),
-                });
+        let free = all
+            .filter(|w| w.pool == request.pool)
+            .map(|worker| request.room(worker));
         let max_slots =
             free.map(|free| u64::from(free.times(&request.charge)));
         if max_slots.sum::<u64>() < u64::from(request.width) {
@@ -358,29 +367,26 @@
         let usable: Vec<(&AgentId, &Worker)> = self
             .workers
             .iter()
-            .filter(|(_, worker)| self.is_usable(worker, request, now))
+            .filter(|(_, worker)| self.is_reachable(worker, request, now))
             .filter(|(_, worker)| {
                 requirement.allows(&worker.life, now.monotonic)
             })
             .collect();
-        let avoid_failing =
-            self.options.policy.probation && request.last_attempt;
-        let usable = prefer_untried(request, usable, avoid_failing);
+        let healthy =
+            |worker: &Worker| !worker.health.is_quarantined(now.monotonic);
+        let usable = self.prefer(request, usable, |(_, w)| healthy(w));
+        let usable = self.prefer_untried(request, usable);
         let usable = self.isolate_suspect(request, usable, now);
         let spare = self.spare_workers(request, &usable, now);
-        usable
+        self.prefer(request, usable, |(agent, _)| !spare.contains(*agent))
             .into_iter()
-            .filter(|(agent, _)| !spare.contains(*agent))
             .map(|(agent, worker)| Candidate {
                 place: Place {
                     agent: agent.clone(),
                     life: worker.life.clone(),
                 },
                 rack: worker.rack.clone(),
-                free: match request.may_use_reserved {
-                    true => worker.unoccupied(),
-                    false => worker.free(),
-                },
+                free: request.room(worker),
                 quota: self.quota(request, agent),
                 failures: worker.health.failure_count(),
                 speed: self.speeds.of(agent),
@@ -394,6 +400,17 @@
         worker: &Worker,
         request: &Request,
         now: Timestamp,
+    ) -> bool {
+        self.is_reachable(worker, request, now)
+            && !worker.health.is_quarantined(now.monotonic)
+    }
+
+    /// Returns whether a unit could run on a worker, in quarantine or not.
+    fn is_reachable(
+        &self,
+        worker: &Worker,
+        request: &Request,
+        now: Timestamp,
     ) -> bool {
         let label = request.label.as_ref();
         worker.pool == request.pool
@@ -401,7 +418,6 @@
             && !self.closed_halls.contains(&worker.hall)
             && !worker.silent
             && !worker.gone
-            && !worker.health.is_quarantined(now.monotonic)
             && worker
                 .isolated_until
                 .is_none_or(|until| now.monotonic >= until)
@@ -410,6 +426,62 @@
             && worker.capacity.holds(&request.charge)
     }
 
+    /// Returns the workers that are preferred. A unit that takes any room gets
+    /// the others as well if it finds no place without them.
+    fn prefer<'a>(
+        &self,
+        request: &Request,
+        usable: Vec<(&'a AgentId, &'a Worker)>,
+        is_preferred: impl Fn(&(&'a AgentId, &'a Worker)) -> bool,
+    ) -> Vec<(&'a AgentId, &'a Worker)> {
+        let preferred: Vec<(&AgentId, &Worker)> =
+            usable.iter().copied().filter(is_preferred).collect();
+        match request.takes_any_room
+            && self.fit_now(request, &preferred)
+                < self.fit_now(request, &usable)
+        {
+            true => usable,
+            false => preferred,
+        }
+    }
+
+    /// Leaves out the workers that the unit has failed on and, on its last
+    /// attempt, those with recent failures, provided that the others could
+    /// hold the unit. A unit that has waited while most of the pool is idle may
+    /// use all of them.
+    fn prefer_untried<'a>(
+        &self,
+        request: &Request,
+        usable: Vec<(&'a AgentId, &'a Worker)>,
+    ) -> Vec<(&'a AgentId, &'a Worker)> {
+        let avoid_failing =
+            self.options.policy.probation && request.last_attempt;
+        let is_avoided = |(agent, worker): &(&AgentId, &Worker)| {
+            request.avoid.contains(*agent)
+                || avoid_failing && worker.health.failure_count() > 0
+        };
+        let others = usable.iter().filter(|worker| !is_avoided(worker));
+        let slots_elsewhere: u64 =
+            others.map(|(_, w)| u64::from(request.slots(w))).sum();
+        if request.may_use_reserved
+            || slots_elsewhere < u64::from(request.width)
+        {
+            return usable;
+        }
+        self.prefer(request, usable, |worker| !is_avoided(worker))
+    }
+
+    /// Returns how many more tasks of a unit fit on a worker now.
+    pub(super) fn slots_now(
+        &self,
+        request: &Request,
+        agent: &AgentId,
+        worker: &Worker,
+    ) -> u32 {
+        let slots = request.room(worker).times(&request.charge);
+        slots.min(self.quota(request, agent))
+    }
+
     /// Returns how many more tasks of a step a worker may run.
     fn quota(&self, request: &Request, agent: &AgentId) -> u32 {
         let Some(max_tasks) = request.per_worker else {
@@ -431,28 +503,6 @@
     }
 }
 
-/// Leaves out the workers that the unit has failed on and, if `avoid_failing`,
-/// those with recent failures, provided that the others could hold the unit. A
-/// unit that has waited while most of the pool is idle may use all of them.
-fn prefer_untried<'a>(
-    request: &Request,
-    usable: Vec<(&'a AgentId, &'a Worker)>,
-    avoid_failing: bool,
-) -> Vec<(&'a AgentId, &'a Worker)> {
-    let slots = |worker: &Worker| u64::from(request.slots(worker));
-    let avoided = |agent: &AgentId, worker: &Worker| {
-        request.avoid.contains(agent)
-            || avoid_failing && worker.health.failure_count() > 0
-    };
-    let others = usable.iter().filter(|(agent, w)| !avoided(agent, w));
-    let slots_elsewhere: u64 = others.map(|(_, worker)| slots(worker)).sum();
-    if request.may_use_reserved || slots_elsewhere < u64::from(request.width) {
-        return usable;
-    }
-    let others = usable.into_iter().filter(|(agent, w)| !avoided(agent, w));
-    others.collect()
-}
-
 /// Returns the workers on which a unit is in time, or all of them if those
 /// could not hold it.
 fn fast_enough(request: &Request, candidates: &[Candidate]) -> Vec<Candidate> {
--- a/src/graph/spare.rs
+++ b/src/graph/spare.rs
@@ -187,10 +187,9 @@
             return false;
         }
         let others = usable.iter().filter(|(agent, _)| !kept.contains(*agent));
-        let others: Vec<&Worker> = others.map(|(_, worker)| *worker).collect();
-        let all: Vec<&Worker> = usable.iter().map(|(_, w)| *w).collect();
-        let empty = |worker: &Worker| request.slots(worker);
-        let best = fit(request, &all, empty);
+        let others: Vec<(&AgentId, &Worker)> = others.copied().collect();
+        let empty = |_: &AgentId, worker: &Worker| request.slots(worker);
+        let best = fit(request, usable, empty);
         if fit(request, &others, empty) < best {
             return false;
         }
@@ -199,11 +198,18 @@
         {
             return true;
         }
-        let max_tasks = request.per_worker.unwrap_or(u32::MAX);
-        let free = |worker: &Worker| {
-            worker.free().times(&request.charge).min(max_tasks)
-        };
-        fit(request, &others, free) >= best
+        self.fit_now(request, &others) >= best
+    }
+
+    /// Returns how well workers can hold a unit now.
+    pub(super) fn fit_now(
+        &self,
+        request: &Request,
+        workers: &[(&AgentId, &Worker)],
+    ) -> Fit {
+        fit(request, workers, |agent, worker| {
+            self.slots_now(request, agent, worker)
+        })
     }
 
     /// Returns whether a unit has to begin now, and on a fast worker, to be in
@@ -484,10 +490,12 @@
 
 /// How well workers can hold a unit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Fit {
+pub(super) enum Fit {
+    /// Not at all.
     No,
     /// In racks where the unit does not run at full speed.
     Far,
+    /// In racks where the unit runs at full speed.
     Near,
 }
 
@@ -495,12 +503,13 @@
 /// tasks.
 fn fit(
     request: &Request,
-    workers: &[&Worker],
-    slots: impl Fn(&Worker) -> u32,
+    workers: &[(&AgentId, &Worker)],
+    slots: impl Fn(&AgentId, &Worker) -> u32,
 ) -> Fit {
     let mut racks: BTreeMap<&SharedStr, u64> = BTreeMap::new();
-    for worker in workers {
-        *racks.entry(&worker.rack).or_default() += u64::from(slots(worker));
+    for (agent, worker) in workers {
+        let here = racks.entry(&worker.rack).or_default();
+        *here += u64::from(slots(agent, worker));
     }
     let width = u64::from(request.width);
     let near = racks.iter().filter(|(rack, _)| request.is_near(rack));
--- a/src/graph/speed/usage.rs
+++ b/src/graph/speed/usage.rs
@@ -4,6 +4,7 @@
 
 use crate::graph::job_record::JobRecord;
 use crate::graph::place::Request;
+use crate::graph::schedule::MAX_WAIT_WHEN_IDLE;
 use crate::graph::speed::LogSpeed;
 use crate::graph::unit::Phase;
 use crate::graph::unit::Unit;
@@ -104,8 +105,11 @@
     ) -> Request {
         let expected = self.expected_time(record, key.step);
         let needed_speed = self.needed_speed(record, key, expected, now);
+        let is_lasting = record.job.steps[key.step].lasting;
+        let any_room_from = unit.ready_since + MAX_WAIT_WHEN_IDLE;
         Request {
             needed_speed,
+            takes_any_room: is_lasting && now.monotonic >= any_room_from,
             ..Request::new(record, key, unit, expected)
         }
     }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -23,6 +23,7 @@
 mod headroom;
 mod holder;
 mod in_touch;
+mod lasting;
 mod late_ends;
 mod limits;
 mod memory;
