Lasting tasks: use room that stands reserved for others

Callers saw a lasting task stay away for as long as a gang that waits for other workers had reserved its room: until the last of those runs ends, which may take minutes. Reserved room that nothing occupies could be used only on a pool that is mostly idle.

A lasting unit that has waited 2 s now uses it on a full pool as well, unless anything in the pool is reserved for urgent units: that room is freed by stops, and guarantees depend on it.

Failed before, on the parent: lasting_task_stays_away_while_its_room_is_reserved: "away for 20s". The test for the urgent unit's reservation passed before and after.

--- a/src/graph/guarantee.rs
+++ b/src/graph/guarantee.rs
@@ -180,6 +180,15 @@
         })
     }
 
+    /// Returns whether any resources of a pool are reserved for urgent units.
+    /// Guarantees are for urgent units.
+    pub(super) fn reserves_for_urgent(&self, pool: &SharedStr) -> bool {
+        let urgent =
+            self.urgent_jobs().filter(|record| record.job.pool == *pool);
+        let mut units = urgent.flat_map(|record| record.units.values());
+        units.any(|unit| matches!(unit.phase, Phase::Reserved(_)))
+    }
+
     /// Returns the latest time at which places must be chosen for a unit
     /// within its account's guarantee, so that it begins in time even if other
     /// runs are stopped for it.
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use crate::graph::job_record::JobRecord;
+use crate::graph::place::Request;
 use crate::graph::preempt::RoomSource;
 use crate::graph::preempt::Victims;
 use crate::graph::scheduler::Worker;
@@ -204,7 +205,7 @@
         let mut request = self.request(record, key, unit, now);
         // While most of the pool is idle, units may use each other's
         // reservations; otherwise they could wait for each other.
-        request.may_use_reserved = self.may_use_reserved(&record.job.pool);
+        request.may_use_reserved = self.may_use_reserved(&request);
         // The unit's own reservation must not be in its way.
         let reserved = unit.phase.clone();
         let changed = self.changed;
@@ -406,7 +407,7 @@
         let mut request = self.request(record, &waiting.key, unit, now);
         request.may_use_reserved = now.monotonic
             >= unit.ready_since + MAX_WAIT_WHEN_IDLE
-            && self.may_use_reserved(&record.job.pool);
+            && self.may_use_reserved(&request);
         if let Some(places) = self.place(&request, now) {
             self.start_run(&waiting.id, &waiting.key, places, now);
             return true;
@@ -419,12 +420,17 @@
         }
     }
 
-    /// Returns whether units may use resources that are reserved but
-    /// unoccupied. They may while most of the pool is idle and none of its
+    /// Returns whether a unit may use resources that are reserved but
+    /// unoccupied. It may while most of the pool is idle and none of its
     /// reservations is for a unit within a guarantee, which would then have to
-    /// wait for these units to end.
-    fn may_use_reserved(&self, pool: &SharedStr) -> bool {
-        self.is_mostly_idle(pool) && !self.reserves_for_guarantees(pool)
+    /// wait for this unit to end. A unit that takes any room may as well while
+    /// none of them is for an urgent unit.
+    fn may_use_reserved(&self, request: &Request) -> bool {
+        let pool = &request.pool;
+        match self.is_mostly_idle(pool) {
+            true => !self.reserves_for_guarantees(pool),
+            false => request.takes_any_room && !self.reserves_for_urgent(pool),
+        }
     }
 
     /// Returns whether less than half of a pool's accelerators are in use.
--- a/tests/it/lasting.rs
+++ b/tests/it/lasting.rs
@@ -116,6 +116,25 @@
     assert_eq!(empty.count(), 1, "the kept worker is used");
 }
 
+#[test]
+fn lasting_task_stays_away_while_its_room_is_reserved() {
+    let mut site = Site::new(&[("w1", "r1"), ("w2", "r1")]);
+    site.submit(long_job("long", 1, &site));
+    site.submit(job("lasting", 1, vec![lasting_step()], &site));
+    site.settle();
+    let gang = Step {
+        same_rack: false,
+        ..step(2, 8, true)
+    };
+    site.submit(job("gang", 1, vec![gang], &site));
+    // The gang's slack is spent, so that it reserves both workers.
+    site.run_for(Duration::from_secs(20));
+    assert_eq!((site.running("long"), site.running("lasting")), (1, 1));
+    fail(&mut site, "lasting");
+    let away = away(&mut site, "lasting", Duration::from_secs(20));
+    assert!(away <= MAX_AWAY, "away for {away:?}");
+}
+
 #[test]
 fn lasting_tasks_stay_away_from_the_worker_on_which_they_fail_by_turns() {
     let mut site = Site::new(&[("w1", "r1")]);
@@ -169,3 +188,15 @@
     site.run_for(MAX_AWAY);
     assert_eq!(site.running("pair"), 2);
 }
+
+#[test]
+fn lasting_task_takes_the_room_of_runs_that_are_stopped_for_an_urgent_job() {
+    let mut site = Site::new(&[("w1", "r1")]);
+    site.submit(job("low", 1, vec![step(8, 1, false)], &site));
+    site.settle();
+    site.submit(job("lasting", 1, vec![lasting_step()], &site));
+    site.run_for(MAX_AWAY);
+    site.submit(job("urgent", 0, vec![step(1, 8, false)], &site));
+    site.settle();
+    assert_eq!((site.running("urgent"), site.running("lasting")), (1, 0));
+}
