Lasting tasks: wait 2 s at most for a rack of their own

A lasting gang on a full pool waited for room in one rack for a multiple of its declared time, although the pool had room for three of its kind in several racks: 60 s and more in the test. As on a pool that is mostly idle it now waits 2 s, and then takes several racks.

Failed before, on the parent: lasting_gang_waits_for_a_rack_of_its_own_beside_free_workers: "away for 60s".

--- a/src/graph/place.rs
+++ b/src/graph/place.rs
@@ -346,7 +346,9 @@
             .expected
             .mul_f64((self.options.far_slowdown - 1.0).max(0.0));
         let wait = extra_time.mul_f64(self.options.policy.near_wait);
-        let until = match self.is_mostly_idle(&request.pool) {
+        let is_short =
+            request.takes_any_room || self.is_mostly_idle(&request.pool);
+        let until = match is_short {
             true => request.ready_since + wait.min(MAX_WAIT_WHEN_IDLE),
             false => request.ready_since + wait,
         };
--- a/tests/it/lasting.rs
+++ b/tests/it/lasting.rs
@@ -189,6 +189,41 @@
     assert_eq!(site.running("pair"), 2);
 }
 
+#[test]
+fn lasting_gang_waits_for_a_rack_of_its_own_beside_free_workers() {
+    let mut site = Site::new(&[
+        ("w1", "r1"),
+        ("w2", "r1"),
+        ("w3", "r1"),
+        ("w4", "r2"),
+        ("w5", "r2"),
+        ("w6", "r2"),
+    ]);
+    // Two workers of each rack are left, with five accelerators each.
+    for rack in ["r1", "r2"] {
+        let on_rack = |replicas, accelerators| Step {
+            label: Some(rack.into()),
+            per_worker: Some(1),
+            ..step(replicas, accelerators, false)
+        };
+        let full = format!("full-{rack}");
+        site.submit(job(&full, 1, vec![on_rack(1, 8)], &site));
+        site.settle();
+        let beside = format!("beside-{rack}");
+        site.submit(job(&beside, 1, vec![on_rack(2, 3)], &site));
+        site.settle();
+    }
+    let gang = Step {
+        lasting: true,
+        estimate: Duration::from_secs(60),
+        per_worker: Some(1),
+        ..step(3, 2, true)
+    };
+    site.submit(job("gang", 1, vec![gang], &site));
+    let away = away(&mut site, "gang", Duration::from_secs(60));
+    assert!(away <= MAX_AWAY, "away for {away:?}");
+}
+
 #[test]
 fn lasting_task_takes_the_room_of_runs_that_are_stopped_for_an_urgent_job() {
     let mut site = Site::new(&[("w1", "r1")]);
