Quarantine: a failure of a lasting task that ran well is no evidence

Tasks that last may fail at any time, and they never end as done, which is what clears a worker.

A failure of a lasting task counts against its worker only if the run lasted less than 4 s, as long as the first quarantine. Shorter ones count as before.

--- a/src/graph/health.rs
+++ b/src/graph/health.rs
@@ -15,6 +15,10 @@
 /// The longest quarantine.
 const MAX_QUARANTINE: Duration = Duration::from_secs(60);
 
+/// How long a task that lasts must have run before its failure no longer counts
+/// against its worker: such tasks may fail at any time.
+pub(super) const LASTED_WELL: Duration = FIRST_QUARANTINE;
+
 /// The recent failures of a worker.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Health {
--- a/src/graph/settle.rs
+++ b/src/graph/settle.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::graph::health;
 use crate::graph::job_record::JobRecord;
 use crate::graph::unit::BreakCause;
 use crate::graph::unit::Interruption;
@@ -203,7 +204,18 @@
         if end == MemberEnd::NeverBegan(Refusal::Ticket) {
             self.drop_ticket(&(job.clone(), key.time, key.step), &place.life);
         }
-        self.update_worker_health(&place, &job, key, end, stop_reason, now);
+        let lasted_well =
+            lasting && ended_member.ran_for() >= health::LASTED_WELL;
+        if !(failed && lasted_well) {
+            self.update_worker_health(
+                &place,
+                &job,
+                key,
+                end,
+                stop_reason,
+                now,
+            );
+        }
         self.advance_unit(id, key, now);
     }
 
--- a/tests/it/lasting.rs
+++ b/tests/it/lasting.rs
@@ -152,6 +152,23 @@
     }
 }
 
+#[test]
+fn lasting_tasks_put_the_only_worker_of_other_jobs_in_quarantine() {
+    let mut site = Site::new(&[("w1", "r1")]);
+    for id in ["first", "second"] {
+        site.submit(job(id, 1, vec![lasting_step()], &site));
+    }
+    site.settle();
+    for id in ["first", "second", "first", "second"] {
+        site.run_for(Duration::from_secs(20));
+        fail(&mut site, id);
+        site.run_for(Duration::from_secs(1));
+    }
+    site.submit(job("other", 1, vec![step(1, 1, false)], &site));
+    let away = away(&mut site, "other", Duration::from_secs(60));
+    assert!(away <= MAX_AWAY, "away for {away:?}");
+}
+
 #[test]
 fn lasting_task_stays_away_from_the_only_worker_with_room_as_it_failed_there()
 {
