HTTP client: no idle connection is used after one fell silent

Callers saw an entry answer every call by 503 for some 11 s, and none of their cancels confirmed, after all its open connections to the store had gone silent, without a reset. A burst of callers had left 28 idle connections. A call without an answer gave up its own connection alone, and the next one took the next silent connection from the pool: the watches, the probes and the renewals of the claim each used them up one by one, with growing delays between probes.

Each server has a pool of its own. Once a call has no response 350 ms after it is due (the slowest answers of a store that serves took 340 ms), or at its deadline, or once a response stops halfway, the pool is replaced: later calls open new connections, the old idle ones are closed, and calls under way go on. Calls that ask the store to wait say for how long, so that a watch does not count as silent while it waits. A server that is only slow costs new connections, one for each call under way at most.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,5 +1,7 @@
 //! An HTTP client whose calls have a deadline or an idle timeout.
 
+mod pool;
+
 use std::io::ErrorKind;
 use std::time::Duration;
 
@@ -13,17 +15,17 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::Method;
 use hyper::StatusCode;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
-use hyper_util::rt::TokioTimer;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use tokio::time::Instant;
 
-/// How long establishing a connection may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// How long an idle connection stays in the pool.
-const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+use crate::http::client::pool::Pool;
+use crate::http::client::pool::Pools;
+
+/// How long a server may take to begin a response, beyond the wait that the
+/// request asks for, before the connection counts as silent. The slowest
+/// answers of a store that serves took 340 ms.
+const SUSPECT_AFTER: Duration = Duration::from_millis(350);
 /// The maximum size of a response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
@@ -105,30 +107,27 @@
     }
 }
 
-/// An HTTP client with a pool of connections. Clones share the pool.
-#[derive(Clone, Debug)]
-pub struct Client {
-    inner: hyper_util::client::legacy::Client<HttpConnector, Full<Bytes>>,
+/// How long a server may send nothing before a call fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Silence {
+    /// The time that the request asks the server to wait.
+    pub wait: Duration,
+    /// The time beyond `wait` until the response begins.
+    pub first_byte: Duration,
+    /// The time between two parts of the response.
+    pub idle: Duration,
 }
 
-impl Default for Client {
-    fn default() -> Client {
-        Client::new()
-    }
+/// An HTTP client that keeps its connections. Clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Client {
+    pools: Pools,
 }
 
 impl Client {
-    /// Returns a client with an empty pool.
+    /// Returns a client without connections.
     pub fn new() -> Client {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        let inner =
-            hyper_util::client::legacy::Client::builder(TokioExecutor::new())
-                .pool_timer(TokioTimer::new())
-                .pool_idle_timeout(POOL_IDLE_TIMEOUT)
-                .build(connector);
-        Client { inner }
+        Client::default()
     }
 
     /// Sends a request and returns the complete response.
@@ -146,8 +145,8 @@
     ) -> Result<Reply, Error> {
         let mut request = request(method, url, body.into())?;
         request.headers_mut().extend(headers);
-        let response = self.send(request, url, deadline).await?;
-        receive(response, url, || deadline).await
+        let sent = self.send(request, url, deadline, deadline).await?;
+        self.receive(sent, url, || deadline).await
     }
 
     /// Sends a request and returns the complete response, without a limit on
@@ -158,24 +157,26 @@
     ///
     /// # Errors
     ///
-    /// If the response does not begin within `first_byte`, extended by the
-    /// [`transfer_time`] of the request body, or if no data arrives for
-    /// `idle`.
+    /// If the server sends nothing for longer than `silence` allows. The time
+    /// until the response begins is extended by the [`transfer_time`] of the
+    /// request body.
     pub async fn call_with_idle_timeout(
         &self,
         method: Method,
         url: &str,
         headers: HeaderMap,
         body: impl Into<Bytes>,
-        first_byte: Duration,
-        idle: Duration,
+        silence: Silence,
     ) -> Result<Reply, Error> {
         let body = body.into();
-        let begin_by = Instant::now() + first_byte + transfer_time(body.len());
+        let due = Instant::now() + silence.wait + transfer_time(body.len());
+        let begin_by = due + silence.first_byte;
+        let suspect_at = begin_by.min(due + SUSPECT_AFTER);
         let mut request = request(method, url, body)?;
         request.headers_mut().extend(headers);
-        let response = self.send(request, url, begin_by).await?;
-        receive(response, url, || Instant::now() + idle).await
+        let sent = self.send(request, url, suspect_at, begin_by).await?;
+        self.receive(sent, url, || Instant::now() + silence.idle)
+            .await
     }
 
     /// Posts JSON and returns the JSON of a successful response.
@@ -216,8 +217,11 @@
                 url,
                 json(),
                 body,
-                idle,
-                idle,
+                Silence {
+                    wait: Duration::ZERO,
+                    first_byte: idle,
+                    idle,
+                },
             )
             .await?;
         reply.json(url)
@@ -254,7 +258,8 @@
     ) -> Result<Stream, Error> {
         let body = encode(url, value)?;
         let request = request(Method::POST, url, body.into())?;
-        let response = self.send(request, url, deadline).await?;
+        let sent = self.send(request, url, deadline, deadline).await?;
+        let response = sent.response;
         match response.status().is_success() {
             true => Ok(Stream {
                 body: response.into_body(),
@@ -270,54 +275,75 @@
     }
 
     /// Sends a request and returns the response once its head has arrived.
+    /// Idle connections to the server are not used again if it has not by
+    /// `suspect_at`.
     async fn send(
         &self,
         request: hyper::Request<Full<Bytes>>,
         url: &str,
+        suspect_at: Instant,
         deadline: Instant,
-    ) -> Result<hyper::Response<Incoming>, Error> {
-        let response = self.inner.request(request);
-        match tokio::time::timeout_at(deadline, response).await {
-            Ok(Ok(response)) => Ok(response),
+    ) -> Result<Sent, Error> {
+        let pool = self.pools.get(request.uri());
+        let mut response = pool.connections.request(request);
+        let soon = tokio::time::timeout_at(suspect_at, &mut response).await;
+        let answer = match soon {
+            Ok(answer) => Ok(answer),
+            Err(_) => {
+                self.pools.retire(&pool);
+                tokio::time::timeout_at(deadline, response).await
+            }
+        };
+        match answer {
+            Ok(Ok(response)) => Ok(Sent { response, pool }),
             Ok(Err(error)) => Err(call_error(url, &error)),
             Err(_) => Err(lost(url, "deadline exceeded")),
         }
     }
-}
 
-/// Receives the complete response. Calls `limit` before each frame for the
-/// deadline of that frame.
-async fn receive(
-    response: hyper::Response<Incoming>,
-    url: &str,
-    limit: impl Fn() -> Instant,
-) -> Result<Reply, Error> {
-    let (head, body) = response.into_parts();
-    let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
-    let mut bytes = Vec::new();
-    loop {
-        match tokio::time::timeout_at(limit(), body.frame()).await {
-            Ok(Some(Ok(frame))) => {
-                let data = frame.into_data().unwrap_or_default();
-                bytes.extend_from_slice(&data);
-            }
-            Ok(Some(Err(error))) => return Err(lost(url, error)),
-            Ok(None) => break,
-            // The count distinguishes a response that was cut off from one
-            // that never began.
-            Err(_) => {
-                let received = bytes.len();
-                let reason =
-                    format!("deadline exceeded after {received} bytes");
-                return Err(lost(url, reason));
+    /// Receives the complete response. Calls `limit` before each frame for the
+    /// deadline of that frame.
+    async fn receive(
+        &self,
+        sent: Sent,
+        url: &str,
+        limit: impl Fn() -> Instant,
+    ) -> Result<Reply, Error> {
+        let (head, body) = sent.response.into_parts();
+        let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
+        let mut bytes = Vec::new();
+        loop {
+            match tokio::time::timeout_at(limit(), body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    bytes.extend_from_slice(&data);
+                }
+                Ok(Some(Err(error))) => return Err(lost(url, error)),
+                Ok(None) => break,
+                // The count distinguishes a response that was cut off from one
+                // that never began.
+                Err(_) => {
+                    self.pools.retire(&sent.pool);
+                    let received = bytes.len();
+                    let reason =
+                        format!("deadline exceeded after {received} bytes");
+                    return Err(lost(url, reason));
+                }
             }
         }
+        Ok(Reply {
+            status: head.status,
+            headers: head.headers,
+            body: bytes.into(),
+        })
     }
-    Ok(Reply {
-        status: head.status,
-        headers: head.headers,
-        body: bytes.into(),
-    })
+}
+
+/// A request whose response has begun.
+struct Sent {
+    response: hyper::Response<Incoming>,
+    /// The pool of the connection.
+    pool: Pool,
 }
 
 /// The body of a response, read line by line.
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -7,6 +7,7 @@
 pub use client::Client;
 pub use client::Error;
 pub use client::Reply;
+pub use client::Silence;
 pub use client::Stream;
 pub use server::ConnectionLimit;
 pub use server::Handler;
