Quarantine: don't leave a pool idle while its units wait

Once only jobs are left that fail by their own fault, each of their gangs puts all its workers in quarantine, for twice as long each time as nothing ends as done.

A unit that has waited 2 s while most of its pool is idle now takes a worker in quarantine as well, if it finds no place without. Workers that are sound are preferred as before, and on a pool in use a worker in quarantine gets nothing, but for tasks that last.

--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -405,9 +405,10 @@
             return false;
         };
         let mut request = self.request(record, &waiting.key, unit, now);
-        request.may_use_reserved = now.monotonic
-            >= unit.ready_since + MAX_WAIT_WHEN_IDLE
-            && self.may_use_reserved(&request);
+        if now.monotonic >= unit.ready_since + MAX_WAIT_WHEN_IDLE {
+            request.takes_any_room |= self.is_mostly_idle(&request.pool);
+            request.may_use_reserved = self.may_use_reserved(&request);
+        }
         if let Some(places) = self.place(&request, now) {
             self.start_run(&waiting.id, &waiting.key, places, now);
             return true;
--- a/tests/it/doubt.rs
+++ b/tests/it/doubt.rs
@@ -100,3 +100,36 @@
     assert_eq!(site.workers[1].running.len(), 1);
     assert_eq!(site.workers[0].running.len(), 0);
 }
+
+#[test]
+fn jobs_that_fail_leave_an_idle_pool_in_quarantine() {
+    let mut site = Site::new(THREE_WORKERS);
+    let jobs = ["a", "b", "c", "d"];
+    for id in jobs {
+        let mut gang = step(3, 8, true);
+        gang.per_worker = Some(1);
+        let mut gang = job(id, 1, vec![gang], &site);
+        gang.max_attempts = 4;
+        site.submit(gang);
+    }
+    // All gangs fail half a second after their start, on all workers.
+    let mut idle = Duration::ZERO;
+    let mut longest = Duration::ZERO;
+    let interval = Duration::from_millis(500);
+    while jobs.iter().any(|id| site.outcome(id).is_none()) {
+        site.settle();
+        let busy = site.workers.iter().any(|w| !w.running.is_empty());
+        idle = match busy {
+            true => Duration::ZERO,
+            false => idle + interval,
+        };
+        longest = longest.max(idle);
+        site.advance(interval);
+        for worker in &mut site.workers {
+            worker.end(RunOutcome::Failed, |_| true);
+        }
+        site.settle();
+        assert!(longest <= Duration::from_secs(60), "idle for good");
+    }
+    assert!(longest <= Duration::from_secs(3), "idle for {longest:?}");
+}
