Quarantine: a reservation doesn't hold a unit back on an idle pool

A unit that had reserved room on a busy worker waited for that room, while workers in quarantine stood empty on a pool that is mostly idle: units that hold a reservation looked for other room without them. They now take it like units without a reservation.

Failed before, on the parent: unit_with_a_reservation_leaves_an_idle_pool_in_quarantine: "assertion `left == right` failed, left: 0, right: 1".

--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -203,6 +203,8 @@
             return false;
         };
         let mut request = self.request(record, key, unit, now);
+        request.takes_any_room |=
+            has_waited(&request, now) && self.is_mostly_idle(&request.pool);
         // While most of the pool is idle, units may use each other's
         // reservations; otherwise they could wait for each other.
         request.may_use_reserved = self.may_use_reserved(&request);
@@ -405,7 +407,7 @@
             return false;
         };
         let mut request = self.request(record, &waiting.key, unit, now);
-        if now.monotonic >= unit.ready_since + MAX_WAIT_WHEN_IDLE {
+        if has_waited(&request, now) {
             request.takes_any_room |= self.is_mostly_idle(&request.pool);
             request.may_use_reserved = self.may_use_reserved(&request);
         }
@@ -539,6 +541,12 @@
     }
 }
 
+/// Returns whether a unit has waited for as long as one does for a better place
+/// while most of the pool is idle.
+fn has_waited(request: &Request, now: Timestamp) -> bool {
+    now.monotonic >= request.ready_since + MAX_WAIT_WHEN_IDLE
+}
+
 /// Returns the resources that a unit's members need on each worker.
 fn needs<'a>(
     unit: &'a Unit,
--- a/tests/it/doubt.rs
+++ b/tests/it/doubt.rs
@@ -133,3 +133,29 @@
     }
     assert!(longest <= Duration::from_secs(3), "idle for {longest:?}");
 }
+
+#[test]
+fn unit_with_a_reservation_leaves_an_idle_pool_in_quarantine() {
+    let mut site = Site::new(THREE_WORKERS);
+    let mut long = step(1, 8, false);
+    long.estimate = Duration::from_secs(600);
+    site.submit(job("long", 1, vec![long], &site));
+    site.settle();
+    // Both other workers are put in quarantine, three times.
+    for id in ["a", "b", "c", "d"] {
+        let mut gang = step(2, 8, true);
+        gang.per_worker = Some(1);
+        let mut gang = job(id, 1, vec![gang], &site);
+        gang.max_attempts = 1;
+        site.submit(gang);
+        site.run_for(Duration::from_secs(3));
+        assert_eq!(site.running(id), 2, "{id} has begun");
+        for worker in &mut site.workers {
+            worker.end(RunOutcome::Failed, |r| &*r.task.job == id);
+        }
+        site.settle();
+    }
+    site.submit(job("next", 1, vec![step(1, 8, false)], &site));
+    site.run_for(Duration::from_secs(3));
+    assert_eq!(site.running("next"), 1);
+}
