Keep a gang's deadline where members show no load

What callers would see: on workers whose lists have no load figures, members of a gang end alone although a deadline is set for its start.

Cause: a member without a load figure counted as working, and a member that works shows that its gang is complete. The first member that was listed took the deadline away.

Change: only a load above 0, a new checkpoint or progress shows that a gang is complete. A run without a load figure still counts as working where stuck runs are looked for.

Test: `a_gang_without_load_figures_is_stopped_before_its_members_have_waited` fails on the commit before (`left: 0, right: 2`) and passes with the change.

--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -402,7 +402,9 @@
         }
         let whole_time = member.work.and_then(|work| work.whole_time());
         let proven = member.is_proven();
-        unit.is_complete |= working || saved || member.has_progressed();
+        // A member that waits for others may show no load figure either.
+        let loaded = running.load.is_some_and(|load| load > 0.0);
+        unit.is_complete |= loaded || saved || member.has_progressed();
         if begins {
             self.note_gang_begun(&running.task.job, &key);
         }
--- a/tests/it/gang_deadline.rs
+++ b/tests/it/gang_deadline.rs
@@ -117,3 +117,15 @@
     assert_eq!(worker.started(), Vec::<String>::new());
     agent.kill();
 }
+
+/// A member that waits for others need not show a load figure.
+#[test]
+fn a_gang_without_load_figures_is_stopped_before_its_members_have_waited() {
+    let mut site = Site::new(FOUR_WORKERS);
+    site.workers[1].holds_starts = true;
+    site.submit(job("gang", 1, vec![step(3, 8, true)], &site));
+    site.settle();
+    assert_eq!(site.running("gang"), 2, "two of three members begin");
+    site.run_for(last_stop());
+    assert_eq!(stopped(&site), 2, "both members that had begun");
+}
