Leave a listed member alone at its gang's deadline

What callers would see: a gang that is whole is stopped, because an agent stops a member that runs.

Cause: at the deadline an agent bars each member whose start it has not seen answered. A start without answer may have been carried out; if the worker lists the run, but the planner has not answered that report yet (or there is none), the agent stopped it.

Change: a run that the worker has listed is not too late.

Test: `a_member_that_its_worker_lists_is_not_stopped_at_the_deadline` fails on the commit before (`a member that runs is stopped`) and passes with the change.

--- a/src/cell/member/view.rs
+++ b/src/cell/member/view.rs
@@ -403,11 +403,15 @@
         }
     }
 
-    /// Returns whether a start must not be carried out any more.
+    /// Returns whether a start must not be carried out any more. A run that the
+    /// worker has listed has begun, even if its start had no answer.
     pub(super) fn is_too_late(&self, key: &Key, now: Instant) -> bool {
-        self.begin_by
+        let has_begun = self
+            .begun
             .get(key)
-            .is_some_and(|begin_by| now >= *begin_by)
+            .is_some_and(|run| run.listed_at.is_some());
+        let begin_by = self.begin_by.get(key);
+        !has_begun && begin_by.is_some_and(|begin_by| now >= *begin_by)
     }
 
     /// Returns the orders to act on now, and marks them as being carried out.
--- a/tests/it/gang_deadline.rs
+++ b/tests/it/gang_deadline.rs
@@ -19,6 +19,7 @@
 use crate::ordered::start;
 use crate::ordered::wait_until_known;
 use crate::ordered::Planner;
+use crate::support::until;
 
 const FOUR_WORKERS: &[(&str, &str)] =
     &[("w1", "r1"), ("w2", "r1"), ("w3", "r1"), ("w4", "r1")];
@@ -129,3 +130,27 @@
     site.run_for(last_stop());
     assert_eq!(stopped(&site), 2, "both members that had begun");
 }
+
+/// A start that had no answer may have been carried out: the worker's list
+/// shows it.
+#[tokio::test]
+async fn a_member_that_its_worker_lists_is_not_stopped_at_the_deadline() {
+    let (planner, store) = Planner::new().await;
+    let worker = FakeWorker::with_births();
+    let agent = planner.agent(&store, &worker);
+    agent.member.heartbeat(heartbeat(&worker, 1));
+    wait_until_known(&planner).await;
+    worker.leave_starts_unanswered(u32::MAX);
+    let within = Duration::from_millis(1000);
+    let order = Start {
+        begin_within_ms: Some(within.as_millis() as u64),
+        ..start(0)
+    };
+    planner.order(&worker, vec![order]);
+    let tried = || async { (worker.unanswered_starts() > 0).then_some(()) };
+    until("a start is unanswered", tried).await;
+    worker.execute_late_starts();
+    tokio::time::sleep(within * 2).await;
+    assert_eq!(worker.listed_ends(), 0, "a member that runs is stopped");
+    agent.kill();
+}
