Set no deadline for gangs of one member

What callers would see: the run of a gang of one is stopped and begun again when its start takes longer than the deadline, although it waits for nobody.

Cause: a unit of a gang's step has a deadline, however many members it has.

Change: a deadline is set where members wait for others.

Test: `a_gang_of_one_member_is_not_stopped_as_it_waits_for_nobody` fails on the commit before (`left: ["gang.0.0.0 2"], right: ["gang.0.0.0 1"]`) and passes with the change.

--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -82,7 +82,7 @@
             // The members of a gang may have begun long before.
             if let Some(unit) = record.units.get_mut(key) {
                 let begin_by = now.monotonic + self.options.gang_begin_time();
-                unit.begin_by = key.index.is_none().then_some(begin_by);
+                unit.begin_by = unit.starts_together().then_some(begin_by);
             }
         }
         let members: Vec<(Place, Resources)> = record
--- a/src/graph/orders.rs
+++ b/src/graph/orders.rs
@@ -176,6 +176,7 @@
     sending: Sending,
     all: &mut BTreeMap<AgentId, Orders>,
 ) {
+    let starts_together = unit.starts_together();
     let Phase::Running(members) = &mut unit.phase else {
         return;
     };
@@ -183,7 +184,6 @@
         return;
     };
     let stopped = unit.stop_reason.is_some();
-    let gang = key.index.is_none();
     let begin_by = unit.begin_by.unwrap_or(sending.begin_by);
     let begin_within = begin_by.saturating_duration_since(sending.now);
     for member in members.iter_mut() {
@@ -211,7 +211,7 @@
             }
             MemberState::Ordered(version) if version <= record.written => {
                 member.sent = true;
-                unit.begin_by = gang.then_some(begin_by);
+                unit.begin_by = starts_together.then_some(begin_by);
                 orders.starts.push(Start {
                     task,
                     run: progress.run,
@@ -222,7 +222,7 @@
                         .and_then(|permission| permission.ticket(life)),
                     charge: record.job.steps[key.step].charge(),
                     account: Some(record.job.account.clone()),
-                    begin_within_ms: gang
+                    begin_within_ms: starts_together
                         .then_some(begin_within.as_millis() as u64),
                 });
             }
--- a/src/graph/unit.rs
+++ b/src/graph/unit.rs
@@ -235,6 +235,16 @@
         }
     }
 
+    /// Returns whether members of the current run wait for others to begin.
+    pub fn starts_together(&self) -> bool {
+        match &self.phase {
+            Phase::Reserved(members) | Phase::Running(members) => {
+                members.len() > 1
+            }
+            Phase::Waiting | Phase::Done => false,
+        }
+    }
+
     /// Returns the members that have not ended.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         let members: &[Member] = match &self.phase {
--- a/tests/it/gang_deadline.rs
+++ b/tests/it/gang_deadline.rs
@@ -99,6 +99,18 @@
     assert_eq!(stopped(&site), 2, "both members that had begun");
 }
 
+#[test]
+fn a_gang_of_one_member_is_not_stopped_as_it_waits_for_nobody() {
+    let mut site = Site::new(&[("w1", "r1")]);
+    site.workers[0].holds_starts = true;
+    site.submit(job("gang", 1, vec![step(1, 8, true)], &site));
+    site.settle();
+    site.run_for(last_stop());
+    site.workers[0].holds_starts = false;
+    site.settle();
+    assert_eq!(site.workers[0].started_runs, ["gang.0.0.0 1"]);
+}
+
 /// The agent acts on the deadline by itself, as its planner may be gone.
 #[tokio::test]
 async fn a_member_that_cannot_begin_in_time_is_refused_and_does_not_begin() {
