--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -82,7 +82,7 @@
             // The members of a gang may have begun long before.
             if let Some(unit) = record.units.get_mut(key) {
                 let begin_by = now.monotonic + self.options.gang_begin_time();
-                unit.begin_by = key.index.is_none().then_some(begin_by);
+                unit.begin_by = unit.starts_together().then_some(begin_by);
             }
         }
         let members: Vec<(Place, Resources)> = record
@@ -402,7 +402,9 @@
         }
         let whole_time = member.work.and_then(|work| work.whole_time());
         let proven = member.is_proven();
-        unit.is_complete |= working || saved || member.has_progressed();
+        // A member that waits for others may show no load figure either.
+        let loaded = running.load.is_some_and(|load| load > 0.0);
+        unit.is_complete |= loaded || saved || member.has_progressed();
         if begins {
             self.note_gang_begun(&running.task.job, &key);
         }
--- a/tests/it/gang_deadline.rs
+++ b/tests/it/gang_deadline.rs
@@ -19,6 +19,7 @@
 use crate::ordered::start;
 use crate::ordered::wait_until_known;
 use crate::ordered::Planner;
+use crate::support::until;
 
 const FOUR_WORKERS: &[(&str, &str)] =
     &[("w1", "r1"), ("w2", "r1"), ("w3", "r1"), ("w4", "r1")];
@@ -98,6 +99,18 @@
     assert_eq!(stopped(&site), 2, "both members that had begun");
 }
 
+#[test]
+fn a_gang_of_one_member_is_not_stopped_as_it_waits_for_nobody() {
+    let mut site = Site::new(&[("w1", "r1")]);
+    site.workers[0].holds_starts = true;
+    site.submit(job("gang", 1, vec![step(1, 8, true)], &site));
+    site.settle();
+    site.run_for(last_stop());
+    site.workers[0].holds_starts = false;
+    site.settle();
+    assert_eq!(site.workers[0].started_runs, ["gang.0.0.0 1"]);
+}
+
 /// The agent acts on the deadline by itself, as its planner may be gone.
 #[tokio::test]
 async fn a_member_that_cannot_begin_in_time_is_refused_and_does_not_begin() {
@@ -117,3 +130,53 @@
     assert_eq!(worker.started(), Vec::<String>::new());
     agent.kill();
 }
+
+/// A member that waits for others need not show a load figure.
+#[test]
+fn a_gang_without_load_figures_is_stopped_before_its_members_have_waited() {
+    let mut site = Site::new(FOUR_WORKERS);
+    site.workers[1].holds_starts = true;
+    site.submit(job("gang", 1, vec![step(3, 8, true)], &site));
+    site.settle();
+    assert_eq!(site.running("gang"), 2, "two of three members begin");
+    site.run_for(last_stop());
+    assert_eq!(stopped(&site), 2, "both members that had begun");
+}
+
+#[test]
+fn a_takeover_does_not_prolong_the_wait_of_members_that_have_begun() {
+    let (mut site, _) = incomplete_gang();
+    let before = Duration::from_secs(1);
+    site.run_for(before);
+    let mut next = Scheduler::new(Options::default(), site.now);
+    let gang = job("gang", 1, vec![step(3, 8, true)], &site);
+    let progress = site.scheduler.progress("gang").cloned();
+    next.accept_job(gang, progress, site.now);
+    site.scheduler = next;
+    site.run_for(last_stop() - before);
+    assert_eq!(stopped(&site), 2, "both members that had begun");
+}
+
+/// A start that had no answer may have been carried out: the worker's list
+/// shows it.
+#[tokio::test]
+async fn a_member_that_its_worker_lists_is_not_stopped_at_the_deadline() {
+    let (planner, store) = Planner::new().await;
+    let worker = FakeWorker::with_births();
+    let agent = planner.agent(&store, &worker);
+    agent.member.heartbeat(heartbeat(&worker, 1));
+    wait_until_known(&planner).await;
+    worker.leave_starts_unanswered(u32::MAX);
+    let within = Duration::from_millis(1000);
+    let order = Start {
+        begin_within_ms: Some(within.as_millis() as u64),
+        ..start(0)
+    };
+    planner.order(&worker, vec![order]);
+    let tried = || async { (worker.unanswered_starts() > 0).then_some(()) };
+    until("a start is unanswered", tried).await;
+    worker.execute_late_starts();
+    tokio::time::sleep(within * 2).await;
+    assert_eq!(worker.listed_ends(), 0, "a member that runs is stopped");
+    agent.kill();
+}
