Report a late start with a reason that earlier planners know

An agent of the new version reported a start that it had given up as `late`. The run is barred, which is a reason that every planner knows; the agent's log line tells that it was late (`a start is given up as late`).

--- a/src/cell/member/act.rs
+++ b/src/cell/member/act.rs
@@ -109,9 +109,7 @@
                     self.log_wait(key, reason, &mut waited);
                     false
                 }
-                Action::GiveUp(call) => {
-                    self.bar_and_refuse(&call, key, Refusal::Late).await
-                }
+                Action::GiveUp(call) => self.give_up(&call, key).await,
                 Action::Done => return,
             };
             if done {
@@ -253,6 +251,16 @@
         }
     }
 
+    /// Bars a run whose start was not carried out by its deadline. It is
+    /// reported as barred: planners of the version before know that reason.
+    async fn give_up(&self, call: &Call, key: &Key) -> bool {
+        let barred = self.bar_and_refuse(call, key, Refusal::Barred).await;
+        slog::info!(self.0.config.log, "agent: a start is given up as late";
+            "task" => %key.0, "run" => key.1, "life" => &*call.life,
+            "barred" => barred);
+        barred
+    }
+
     async fn stop(&self, call: &Call, key: &Key) -> bool {
         self.bar_and_refuse(call, key, Refusal::Barred).await
     }
--- a/src/graph/report.rs
+++ b/src/graph/report.rs
@@ -83,8 +83,6 @@
     Invalid,
     /// The ticket has expired.
     Ticket,
-    /// The start could not be carried out by its deadline.
-    Late,
 }
 
 /// A start that has not happened, and will not.
--- a/src/graph/settle.rs
+++ b/src/graph/settle.rs
@@ -70,7 +70,6 @@
                 "refused: order invalid"
             }
             MemberEnd::NeverBegan(Refusal::Ticket) => "refused: leave ran out",
-            MemberEnd::NeverBegan(Refusal::Late) => "refused: too late",
             MemberEnd::WorkerLost => "worker gone",
             MemberEnd::WorkerSilent => "worker silent",
             MemberEnd::Unread => "ended unread",
@@ -154,9 +153,7 @@
                 failed = true;
                 unit.avoided.push(place.agent.clone());
             }
-            MemberEnd::NeverBegan(
-                Refusal::Room | Refusal::Unhealthy | Refusal::Late,
-            ) => {
+            MemberEnd::NeverBegan(Refusal::Room | Refusal::Unhealthy) => {
                 unit.avoided.push(place.agent.clone());
             }
             _ => {}
