Agent: one report that the worker leaves does not keep work from it for good

Callers saw: an accepted job stays queued though a sound worker is empty. One report of another writer had said draining; all of the worker's own said ready.

Cause: an announced end held for the rest of the life, whoever had sent it.

Change: the announcement is revoked by two consecutive later reports without it, while the worker answers polls, said no goodbye and its life is not over. A report that changes nothing no longer counts as a change while the worker leaves.

Test: odd_reports::one_report_that_the_worker_leaves_does_not_keep_work_from_it; before: 'never came: the wanted number of tasks runs'.

--- a/src/cell/member/state.rs
+++ b/src/cell/member/state.rs
@@ -159,25 +159,25 @@
         }
         view.stays_until = heartbeat.stays_until(now);
         view.mark_alive(now);
-        let same = view.heartbeat.leaving == heartbeat.leaving
-            && view.heartbeat.capacity == heartbeat.capacity;
+        let was_leaving = view.heartbeat.leaving;
+        let same_capacity = view.heartbeat.capacity == heartbeat.capacity;
         view.shrunk |= !heartbeat.capacity.holds(&view.heartbeat.capacity);
-        // A worker that announced its end does not revoke that. An end
-        // that was only reported under the worker's name may have been meant
-        // for another life.
+        // An end that was only reported under the worker's name may have been
+        // meant for another life.
         let revocable = view.goodbye.is_some_and(Goodbye::is_revocable);
         if revocable && view.is_responding(now) && !heartbeat.leaving {
             view.goodbye = None;
             view.over = None;
             view.heartbeat.leaving = false;
         }
-        let leaving = view.heartbeat.leaving || heartbeat.leaving;
+        let revoked = view.is_end_revoked_by(&heartbeat, now);
+        let leaving = heartbeat.leaving || view.heartbeat.leaving && !revoked;
         let heartbeat = Heartbeat {
             leaving,
             ..heartbeat
         };
         view.replace_heartbeat(heartbeat, now);
-        match same {
+        match same_capacity && was_leaving == leaving {
             true => Update::None,
             false => Update::Changed,
         }
--- a/src/cell/member/view.rs
+++ b/src/cell/member/view.rs
@@ -45,6 +45,10 @@
 /// The most by which a sequence can rise meanwhile: 25 heartbeats a second.
 const MAX_SEQUENCE_STEP: u64 = 100;
 
+/// The consecutive heartbeats without an announced end that revoke an earlier
+/// announcement. A single one may itself not be from the worker.
+const REVOKING_HEARTBEATS: u32 = 2;
+
 /// A run of a task.
 pub type Key = (Task, Run);
 
@@ -149,6 +153,8 @@
     pub failed_polls: u32,
     /// The latest time until which any run may continue.
     pub leased_until: Option<Instant>,
+    /// The consecutive heartbeats that did not announce an end.
+    ready_heartbeats: u32,
     /// The birth that the last answered poll has named.
     pub answered_birth: Option<Birth>,
     /// Why the life counts as over, if it does.
@@ -201,6 +207,7 @@
             // An earlier process of this agent may have given a lease of this
             // length.
             leased_until: Some(now + lease),
+            ready_heartbeats: 0,
             answered_birth: None,
             over: None,
             down: false,
@@ -275,6 +282,27 @@
         }
     }
 
+    /// Counts a heartbeat that comes after the last one, and returns whether it
+    /// shows that the worker is not leaving.
+    ///
+    /// A worker that announces its end says so in every later heartbeat. If it
+    /// answers, and [`REVOKING_HEARTBEATS`] do not, the announcement was not
+    /// from the worker.
+    pub(super) fn is_end_revoked_by(
+        &mut self,
+        heartbeat: &Heartbeat,
+        now: Instant,
+    ) -> bool {
+        self.ready_heartbeats = match heartbeat.leaving {
+            true => 0,
+            false => self.ready_heartbeats.saturating_add(1),
+        };
+        self.ready_heartbeats >= REVOKING_HEARTBEATS
+            && self.goodbye.is_none()
+            && self.is_responding(now)
+            && !self.is_over()
+    }
+
     /// Returns whether a heartbeat of `life` lacks the birth that the known
     /// life has under the same name. A worker that names its birth does so in
     /// every heartbeat.
--- a/tests/it/odd_reports.rs
+++ b/tests/it/odd_reports.rs
@@ -140,3 +140,21 @@
     running.abort();
     entry.kill();
 }
+
+/// Guards against a worker that gets no work for good: one report of another
+/// writer said that it leaves, and all of its own say that it does not.
+#[tokio::test]
+async fn one_report_that_the_worker_leaves_does_not_keep_work_from_it() {
+    let store = Memory::default();
+    let worker = FakeWorker::with_births();
+    let entry = Entry::start("entry", &store).await;
+    let agent = member("agent", &store, &worker);
+    agent.heartbeat(Heartbeat {
+        leaving: true,
+        ..heartbeat(&worker, 1)
+    });
+    let running = run(&agent, &worker, 2);
+    run_job("a", &store, &worker).await;
+    running.abort();
+    entry.kill();
+}
