A gang whose starts always take long begins all the same

Change: after three late runs in a row the members have the gang's whole wait. `all_present` replaces a name that read as done; a worker is noted once as avoided.

--- a/src/graph/gang.rs
+++ b/src/graph/gang.rs
@@ -41,7 +41,7 @@
         };
         let done = self.progress.units.get(key).is_some_and(|p| p.done);
         unit.begin_by.is_some_and(|begin_by| now >= begin_by)
-            && !unit.is_complete
+            && !unit.all_present
             && !done
             && unit.stop_reason.is_none()
             && matches!(unit.phase, Phase::Running(_))
@@ -69,7 +69,8 @@
         let (Some(begun), Some(assigned)) = (begun, assigned) else {
             return;
         };
-        unit.is_complete = true;
+        unit.all_present = true;
+        unit.late_runs = 0;
         let first = begun.iter().min().copied().unwrap_or(assigned);
         let last = begun.iter().max().copied().unwrap_or(assigned);
         let since = |at: Instant| at.saturating_duration_since(assigned);
@@ -96,14 +97,14 @@
         }
         for (id, key) in late {
             self.record_missing_members(&id, &key);
-            self.avoid_missing_members(&id, &key);
+            self.count_late_run(&id, &key);
             self.stop_unit(&id, &key, StopReason::Late, now);
         }
     }
 
-    /// Lets the next run of a gang avoid the workers on which members of this
-    /// one have not begun.
-    fn avoid_missing_members(&mut self, id: &str, key: &UnitKey) {
+    /// Counts a late run of a gang, and lets the next one avoid the workers on
+    /// which members of this one have not begun.
+    fn count_late_run(&mut self, id: &str, key: &UnitKey) {
         let record = self.jobs.get_mut(id);
         let Some(unit) = record.and_then(|r| r.units.get_mut(key)) else {
             return;
@@ -111,7 +112,10 @@
         let missing = unit.members().filter(|member| is_missing(member));
         let agents: BTreeSet<AgentId> =
             missing.map(|member| member.place.agent.clone()).collect();
-        unit.avoided.extend(agents);
+        let avoided: BTreeSet<AgentId> =
+            unit.avoided.iter().cloned().collect();
+        unit.avoided.extend(agents.difference(&avoided).cloned());
+        unit.late_runs += 1;
     }
 
     /// Records the members that have not begun, of a gang in which others have
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -81,7 +81,7 @@
             adopt_unit(&mut record, key, progress, now.monotonic);
             // The members of a gang may have begun long before.
             if let Some(unit) = record.units.get_mut(key) {
-                let begin_by = now.monotonic + self.options.gang_begin_time();
+                let begin_by = now.monotonic + self.options.gang_begin_time(0);
                 unit.begin_by = unit.starts_together().then_some(begin_by);
             }
         }
@@ -404,7 +404,7 @@
         let proven = member.is_proven();
         // A member that waits for others may show no load figure either.
         let loaded = running.load.is_some_and(|load| load > 0.0);
-        unit.is_complete |= loaded || saved || member.has_progressed();
+        unit.all_present |= loaded || saved || member.has_progressed();
         if begins {
             self.note_gang_begun(&running.task.job, &key);
         }
--- a/src/graph/orders.rs
+++ b/src/graph/orders.rs
@@ -13,6 +13,7 @@
 use crate::graph::unit::Unit;
 use crate::graph::AgentId;
 use crate::graph::Life;
+use crate::graph::Options;
 use crate::graph::Pace;
 use crate::graph::Resources;
 use crate::graph::Run;
@@ -102,7 +103,7 @@
         }
         let sending = Sending {
             now: self.now,
-            begin_by: self.now + self.options.gang_begin_time(),
+            options: self.options,
         };
         for id in &self.open_jobs {
             if let Some(record) = self.jobs.get_mut(id) {
@@ -148,9 +149,15 @@
 #[derive(Clone, Copy, Debug)]
 struct Sending {
     now: Instant,
-    /// When the members of a gang must have begun whose first start is sent
-    /// now.
-    begin_by: Instant,
+    options: Options,
+}
+
+impl Sending {
+    /// Returns when the members of a gang must have begun whose first start is
+    /// sent now.
+    fn begin_by(&self, unit: &Unit) -> Instant {
+        self.now + self.options.gang_begin_time(unit.late_runs)
+    }
 }
 
 fn add_orders(
@@ -177,6 +184,7 @@
     all: &mut BTreeMap<AgentId, Orders>,
 ) {
     let starts_together = unit.starts_together();
+    let begin_by = unit.begin_by.unwrap_or_else(|| sending.begin_by(unit));
     let Phase::Running(members) = &mut unit.phase else {
         return;
     };
@@ -184,7 +192,6 @@
         return;
     };
     let stopped = unit.stop_reason.is_some();
-    let begin_by = unit.begin_by.unwrap_or(sending.begin_by);
     let begin_within = begin_by.saturating_duration_since(sending.now);
     for member in members.iter_mut() {
         let not_begun = matches!(member.state, MemberState::Ordered(_));
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -480,7 +480,7 @@
         unit.logged_wait = None;
         unit.break_cause = BreakCause::NoEnds;
         unit.begin_by = None;
-        unit.is_complete = false;
+        unit.all_present = false;
         let ready = unit.ready_since;
         self.mark_dirty(id);
         for place in &places {
--- a/src/graph/scheduler.rs
+++ b/src/graph/scheduler.rs
@@ -63,14 +63,24 @@
 /// The time from the decision to stop a run until its workers have received
 /// the stops.
 const STOP_LEAD: Duration = Duration::from_millis(500);
+/// The late runs in a row after which a gang's start is not cut short.
+const MAX_LATE_RUNS: u32 = 3;
 
 impl Options {
     /// Returns how long after the first start of a gang was sent its members
-    /// may begin. Those that have begun can then be stopped before they have
-    /// waited in vain for [`Options::gang_wait`].
-    pub(super) fn gang_begin_time(&self) -> Duration {
+    /// may begin, after a number of late runs in a row. Those that have begun
+    /// can then be stopped before they have waited in vain for
+    /// [`Options::gang_wait`].
+    ///
+    /// After [`MAX_LATE_RUNS`] the members have all of that time: where starts
+    /// always take long, the gang would otherwise never begin.
+    pub(super) fn gang_begin_time(&self, late_runs: u32) -> Duration {
         let stops = self.stop_time + STOP_LEAD;
-        self.gang_wait.saturating_sub(stops).max(self.gang_wait / 2)
+        let early = self.gang_wait.saturating_sub(stops);
+        match late_runs < MAX_LATE_RUNS {
+            true => early.max(self.gang_wait / 2),
+            false => self.gang_wait,
+        }
     }
 }
 
--- a/src/graph/unit.rs
+++ b/src/graph/unit.rs
@@ -210,9 +210,11 @@
     /// When all members of the current run must have begun, if the unit is a
     /// gang and a start was sent.
     pub begin_by: Option<Instant>,
+    /// The runs in a row that were stopped because a member was late.
+    pub late_runs: u32,
     /// Whether all members of the current run were seen to have begun, or one
     /// of them to work, which takes all of them.
-    pub is_complete: bool,
+    pub all_present: bool,
 }
 
 impl Unit {
@@ -231,7 +233,8 @@
             break_cause: BreakCause::NoEnds,
             interruption: Interruption::Stopped,
             begin_by: None,
-            is_complete: false,
+            late_runs: 0,
+            all_present: false,
         }
     }
 
--- a/tests/it/gang_deadline.rs
+++ b/tests/it/gang_deadline.rs
@@ -180,3 +180,31 @@
     assert_eq!(worker.listed_ends(), 0, "a member that runs is stopped");
     agent.kill();
 }
+
+/// Guards against gangs that are stopped again and again: with no other worker,
+/// each start of one member takes longer than the deadline allows.
+#[test]
+fn a_gang_whose_starts_always_take_long_begins() {
+    let Options { gang_wait, .. } = Options::default();
+    let begins_after = gang_wait - Duration::from_millis(500);
+    let (mut site, late) = incomplete_gang();
+    site.workers.remove(3);
+    let mut ordered_for = Duration::ZERO;
+    let interval = Duration::from_millis(500);
+    for _ in 0..60 {
+        let orders = {
+            let agent = site.workers[late].agent.clone();
+            site.scheduler.orders(&agent)
+        };
+        ordered_for = match orders.starts.is_empty() {
+            true => Duration::ZERO,
+            false => ordered_for + interval,
+        };
+        site.workers[late].holds_starts = ordered_for < begins_after;
+        site.run_for(interval);
+        if site.running("gang") == 3 {
+            return;
+        }
+    }
+    panic!("not whole within 30 s");
+}
