Tests and delivery: read more plainly

The setup of two tests of agents stands once, the check of lost answers and the excuses of ends alone need no match on a value that is none.

--- a/crates/landingvalve-sim/src/gang.rs
+++ b/crates/landingvalve-sim/src/gang.rs
@@ -126,20 +126,14 @@
             period.end.is_none_or(|end| end + CONTACT >= first_start)
                 && period.start <= now
         };
-        match () {
-            () if self
-                .cancels
-                .get(&key.0.job)
-                .is_some_and(|at| *at <= now) =>
-            {
-                Some(Excuse::Cancelled)
-            }
-            () if self.fault_periods.iter().any(is_near) => {
-                Some(Excuse::Fault)
-            }
-            () if is_late => Some(Excuse::LateStart),
-            () => None,
-        }
+        let cancel = self.cancels.get(&key.0.job);
+        let excuses = [
+            (cancel.is_some_and(|at| *at <= now), Excuse::Cancelled),
+            (self.fault_periods.iter().any(is_near), Excuse::Fault),
+            (is_late, Excuse::LateStart),
+        ];
+        let first = excuses.into_iter().find(|(holds, _)| *holds);
+        first.map(|(_, excuse)| excuse)
     }
 }
 
--- a/src/cell/planner/delivery.rs
+++ b/src/cell/planner/delivery.rs
@@ -32,11 +32,10 @@
     pub fn lost_answer(&self, report: &Report) -> Option<u64> {
         let answered = self.0.get(&report.agent)?;
         let received = report.received?;
-        let is_lost = match answered.process == report.process {
-            true if report.sequence < answered.sequence => false,
-            true => received < answered.sequence,
-            false => true,
-        };
+        let has_restarted = answered.process != report.process;
+        let is_newer = answered.sequence < report.sequence;
+        let is_lost =
+            has_restarted || is_newer && received < answered.sequence;
         is_lost.then_some(answered.sequence)
     }
 }
--- a/src/graph/scheduler.rs
+++ b/src/graph/scheduler.rs
@@ -176,7 +176,7 @@
 #[derive(Clone, Debug)]
 pub struct Scheduler {
     pub(super) options: Options,
-    /// The time of the last event or pass.
+    /// The time of the last report or pass.
     pub(super) now: Instant,
     /// When this planner claimed the cell. No earlier planner has granted
     /// anything after that time.
--- a/tests/it/gang_deadline.rs
+++ b/tests/it/gang_deadline.rs
@@ -18,6 +18,7 @@
 use crate::graph::Site;
 use crate::ordered::start;
 use crate::ordered::wait_until_known;
+use crate::ordered::Agent;
 use crate::ordered::Planner;
 use crate::support::until;
 
@@ -111,15 +112,21 @@
     assert_eq!(site.workers[0].started_runs, ["gang.0.0.0 1"]);
 }
 
-/// The agent acts on the deadline by itself, as its planner may be gone.
-#[tokio::test]
-async fn a_member_that_cannot_begin_in_time_is_refused_and_does_not_begin() {
+/// Returns a planner that knows an agent, whose worker answers no start.
+async fn agent_without_answers() -> (Planner, FakeWorker, Agent) {
     let (planner, store) = Planner::new().await;
     let worker = FakeWorker::with_births();
     let agent = planner.agent(&store, &worker);
     agent.member.heartbeat(heartbeat(&worker, 1));
     wait_until_known(&planner).await;
     worker.leave_starts_unanswered(u32::MAX);
+    (planner, worker, agent)
+}
+
+/// The agent acts on the deadline by itself, as its planner may be gone.
+#[tokio::test]
+async fn a_member_that_cannot_begin_in_time_is_refused_and_does_not_begin() {
+    let (planner, worker, agent) = agent_without_answers().await;
     let late = Start {
         begin_within_ms: Some(400),
         ..start(0)
@@ -161,12 +168,7 @@
 /// shows it.
 #[tokio::test]
 async fn a_member_that_its_worker_lists_is_not_stopped_at_the_deadline() {
-    let (planner, store) = Planner::new().await;
-    let worker = FakeWorker::with_births();
-    let agent = planner.agent(&store, &worker);
-    agent.member.heartbeat(heartbeat(&worker, 1));
-    wait_until_known(&planner).await;
-    worker.leave_starts_unanswered(u32::MAX);
+    let (planner, worker, agent) = agent_without_answers().await;
     let within = Duration::from_millis(1000);
     let order = Start {
         begin_within_ms: Some(within.as_millis() as u64),
