--- a/crates/landingvalve-sim/src/day.rs
+++ b/crates/landingvalve-sim/src/day.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 use std::time::SystemTime;
 
@@ -17,7 +16,6 @@
 use landingvalve::cell::session::Host;
 use landingvalve::cell::session::Session;
 use landingvalve::cell::Admission;
-use landingvalve::cell::Submitted;
 use landingvalve::clock;
 use landingvalve::graph::Job;
 use landingvalve::graph::JobId;
@@ -33,6 +31,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::caller::Admissions;
+use crate::caller::Caller;
+use crate::caller::Cancels;
 use crate::gang::AloneCounts;
 use crate::invariants::Checker;
 use crate::lock;
@@ -50,10 +51,6 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which a worker sends heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
-/// Time after which a caller's call fails.
-const CALL_TIMEOUT: Duration = Duration::from_millis(3000);
-/// Number of times that a caller tries to submit its job.
-const MAX_SUBMIT_ATTEMPTS: u32 = 6;
 /// Time after the last fault within which all accepted jobs must have ended.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(90);
 /// Mean time from one goodbye to the next.
@@ -187,9 +184,6 @@
     task: JoinHandle<()>,
 }
 
-/// Admission of each entry that is up, by the entry's number.
-type Admissions = Arc<Mutex<BTreeMap<usize, Admission<Relay<store::Client>>>>>;
-
 struct Agent {
     program: Option<Program>,
     member: Option<Member<worker::Client, store::Client>>,
@@ -930,120 +924,3 @@
     });
     fastrand::Rng::with_seed(hash).u64(..FAILING_RUN_INTERVAL) == 0
 }
-
-/// When a caller cancels its job.
-#[derive(Clone, Copy, Debug)]
-struct Cancels {
-    /// How long after the acceptance.
-    after_acceptance: Option<Duration>,
-    /// How long after the first submission, without regard to answers.
-    early: Option<Duration>,
-}
-
-/// A caller that submits a job and polls it until it has ended.
-#[derive(Clone)]
-struct Caller {
-    job: Job,
-    checker: Checker,
-    random: fastrand::Rng,
-    cancels: Cancels,
-    until: Instant,
-    admissions: Admissions,
-}
-
-impl Caller {
-    async fn run(mut self) {
-        let canceller = self.clone();
-        let cancelling = async move {
-            if let Some(after) = self.cancels.early {
-                tokio::time::sleep(after).await;
-                canceller.cancel_until_answered().await;
-            }
-        };
-        let submitting = async move {
-            if self.submit().await {
-                self.follow().await;
-            }
-        };
-        tokio::join!(submitting, cancelling);
-    }
-
-    /// Polls the accepted job, and cancels it when that is due.
-    async fn follow(mut self) {
-        let id = self.job.id.clone();
-        self.checker.record_acceptance(&id);
-        let accepted_at = Instant::now();
-        while Instant::now() < self.until {
-            tokio::time::sleep(Duration::from_millis(400)).await;
-            let Some(admission) = self.pick_admission() else {
-                continue;
-            };
-            let deadline = Instant::now() + CALL_TIMEOUT;
-            if self
-                .cancels
-                .after_acceptance
-                .is_some_and(|after| accepted_at.elapsed() >= after)
-            {
-                self.checker.record_cancel_sent(&id);
-                let cancelled = admission.cancel(&id, deadline);
-                let result =
-                    tokio::time::timeout(CALL_TIMEOUT, cancelled).await;
-                if let Ok(Ok(found)) = result {
-                    self.checker.record_cancellation(&id, found);
-                    self.cancels.after_acceptance = None;
-                }
-            }
-            let stage = admission.stage(&id, deadline);
-            let stage = tokio::time::timeout(CALL_TIMEOUT, stage).await;
-            if let Ok(Ok(stage)) = stage {
-                self.checker.record_stage(&id, stage);
-                if matches!(stage, Some(landingvalve::cell::Stage::Ended(_))) {
-                    return;
-                }
-            }
-        }
-    }
-
-    /// Cancels the job at one entry after the other until one has answered,
-    /// whether or not it knows the job.
-    async fn cancel_until_answered(mut self) {
-        let id = self.job.id.clone();
-        while Instant::now() < self.until {
-            if let Some(admission) = self.pick_admission() {
-                let deadline = Instant::now() + CALL_TIMEOUT;
-                self.checker.record_cancel_sent(&id);
-                let cancelled = admission.cancel(&id, deadline);
-                let result =
-                    tokio::time::timeout(CALL_TIMEOUT, cancelled).await;
-                if let Ok(Ok(found)) = result {
-                    self.checker.record_cancellation(&id, found);
-                    return;
-                }
-            }
-            tokio::time::sleep(Duration::from_millis(400)).await;
-        }
-    }
-
-    async fn submit(&mut self) -> bool {
-        for _ in 0..MAX_SUBMIT_ATTEMPTS {
-            if let Some(admission) = self.pick_admission() {
-                let deadline = Instant::now() + CALL_TIMEOUT;
-                let submitted = admission.submit(&self.job, deadline);
-                let result =
-                    tokio::time::timeout(CALL_TIMEOUT, submitted).await;
-                if let Ok(Submitted::Accepted) = result {
-                    return true;
-                }
-            }
-            tokio::time::sleep(Duration::from_millis(500)).await;
-        }
-        false
-    }
-
-    fn pick_admission(&mut self) -> Option<Admission<Relay<store::Client>>> {
-        let admissions = lock(&self.admissions);
-        let at = (!admissions.is_empty())
-            .then(|| self.random.usize(..admissions.len()))?;
-        admissions.values().nth(at).cloned()
-    }
-}
--- a/crates/landingvalve-sim/src/lib.rs
+++ b/crates/landingvalve-sim/src/lib.rs
@@ -12,6 +12,7 @@
 //! a seed may still differ in the order of two tasks that are due at the same
 //! time, so run a failing seed several times.
 
+pub mod caller;
 pub mod day;
 pub mod gang;
 pub mod invariants;
