Store the deadline of a gang's start with its run

A planner that takes over did not know when the first members of a gang had begun, and counted the deadline anew: begun at 0 s, takeover at 1 s, stopped at 2.5 s and a stop later, although the others wait 3 s only. Found in review.

Change: a gang's run is stored with the time by which its members must have begun, counted from its assignment. A new planner keeps that deadline, or a fresh one if that is sooner. A member counts as missing only if its worker has reported to this planner, so that a gang at work is not stopped before its agents have found the new planner. Records of the version before have no deadline and are read as before.

--- a/src/graph/attempts.rs
+++ b/src/graph/attempts.rs
@@ -71,6 +71,7 @@
     pub(super) fn complete(&mut self) {
         self.done = true;
         self.on.clear();
+        self.begin_by = None;
         self.saved.clear();
         self.unread.clear();
     }
--- a/src/graph/gang.rs
+++ b/src/graph/gang.rs
@@ -32,21 +32,6 @@
         };
         key.index.is_none() && is_missing(&members[position])
     }
-
-    /// Returns whether members of a gang have not begun in time, although
-    /// others may have.
-    fn is_late(&self, key: &UnitKey, now: Instant) -> bool {
-        let Some(unit) = self.units.get(key) else {
-            return false;
-        };
-        let done = self.progress.units.get(key).is_some_and(|p| p.done);
-        unit.begin_by.is_some_and(|begin_by| now >= begin_by)
-            && !unit.all_present
-            && !done
-            && unit.stop_reason.is_none()
-            && matches!(unit.phase, Phase::Running(_))
-            && unit.members().any(is_missing)
-    }
 }
 
 impl Scheduler {
@@ -90,8 +75,8 @@
         let mut late = Vec::new();
         for record in self.live_jobs() {
             let units = record.units.iter();
-            let units =
-                units.filter(|(key, _)| record.is_late(key, now.monotonic));
+            let units = units
+                .filter(|(key, _)| self.is_late(record, key, now.monotonic));
             let keys = units.map(|(key, _)| (record.job.id.clone(), *key));
             late.extend(keys);
         }
@@ -102,6 +87,32 @@
         }
     }
 
+    /// Returns whether members of a gang have not begun in time, although
+    /// others may have. A member on a worker that has not reported to this
+    /// planner may have begun.
+    fn is_late(
+        &self,
+        record: &JobRecord,
+        key: &UnitKey,
+        now: Instant,
+    ) -> bool {
+        let Some(unit) = record.units.get(key) else {
+            return false;
+        };
+        let progress = record.progress.units.get(key);
+        let done = progress.is_some_and(|progress| progress.done);
+        let has_reported = |member: &&Member| {
+            let worker = self.workers.get(&member.place.agent);
+            worker.is_some_and(|worker| worker.life == member.place.life)
+        };
+        unit.begin_by.is_some_and(|begin_by| now >= begin_by)
+            && !unit.all_present
+            && !done
+            && unit.stop_reason.is_none()
+            && matches!(unit.phase, Phase::Running(_))
+            && unit.members().filter(has_reported).any(is_missing)
+    }
+
     /// Counts a late run of a gang, and lets the next one avoid the workers on
     /// which members of this one have not begun.
     fn count_late_run(&mut self, id: &str, key: &UnitKey) {
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -81,7 +81,12 @@
             adopt_unit(&mut record, key, progress, now.monotonic);
             // The members of a gang may have begun long before.
             if let Some(unit) = record.units.get_mut(key) {
-                let begin_by = now.monotonic + self.options.gang_begin_time(0);
+                let begin_time = self.options.gang_begin_time(0);
+                let left = progress.begin_by.map_or(begin_time, |begin_by| {
+                    let left = begin_by.duration_since(now.wall);
+                    left.unwrap_or_default().min(begin_time)
+                });
+                let begin_by = now.monotonic + left;
                 unit.begin_by = unit.starts_together().then_some(begin_by);
             }
         }
--- a/src/graph/progress.rs
+++ b/src/graph/progress.rs
@@ -165,6 +165,14 @@
     /// active.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub on: Vec<Place>,
+    /// When the members of a gang's last run must have begun. Another planner
+    /// does not know when the first of them did.
+    #[serde(
+        default,
+        skip_serializing_if = "Option::is_none",
+        with = "crate::util::option_time_ms"
+    )]
+    pub begin_by: Option<SystemTime>,
 }
 
 fn is_zero(value: &u32) -> bool {
--- a/src/graph/schedule.rs
+++ b/src/graph/schedule.rs
@@ -465,6 +465,10 @@
         progress.run += 1;
         progress.from.clone_from(&progress.saved);
         progress.on.clone_from(&places);
+        let late_runs = record.units.get(key).map_or(0, |unit| unit.late_runs);
+        let begin_time = self.options.gang_begin_time(late_runs);
+        let starts_together = places.len() > 1;
+        progress.begin_by = starts_together.then_some(now.wall + begin_time);
         let run = progress.run;
         let failed = progress.failed;
         let Some(unit) = record.units.get_mut(key) else {
--- a/src/graph/settle.rs
+++ b/src/graph/settle.rs
@@ -408,6 +408,7 @@
             return;
         };
         progress.on.clear();
+        progress.begin_by = None;
         let must_fail = record.has_failed(key) || record.must_not_restart(key);
         self.mark_dirty(id);
         if !must_fail && !over {
