--- a/crates/landingvalve-sim/tests/days.rs
+++ b/crates/landingvalve-sim/tests/days.rs
@@ -92,6 +92,15 @@
     assert!(starts > DAY_COUNT * 100, "only {starts} tasks began");
 }
 
+/// Further days of the kind before.
+#[test]
+fn no_invariant_is_violated_by_goodbyes_on_later_days() {
+    let first = FIRST_SEED + DAY_COUNT;
+    let days = first..first + DAY_COUNT;
+    let starts: u64 = days.map(|seed| check(Scenario::with_seed(seed))).sum();
+    assert!(starts > DAY_COUNT * 100, "only {starts} tasks began");
+}
+
 /// Guards against ends that are read after their runs were given up, and count
 /// for nothing.
 #[test]
