Simulation: entries have addresses with a port

The test's bounds and its check are unchanged; the addresses now name a port, as every real one does.

--- a/crates/landingvalve-sim/src/day.rs
+++ b/crates/landingvalve-sim/src/day.rs
@@ -354,7 +354,7 @@
 
     fn start_entry(&mut self, at: usize) {
         let process = self.network.start(at);
-        let address = format!("entry-{at}-{process}");
+        let address = format!("entry-{at}-{process}:1");
         let name = format!("entry-{at}");
         let connector = self.network.connector(process);
         let peers = Peers::new(&name, connector, log::none());
--- a/crates/landingvalve-sim/tests/growth.rs
+++ b/crates/landingvalve-sim/tests/growth.rs
@@ -189,6 +189,7 @@
     fn start_entry(&mut self, at: usize) {
         let process = self.network.start(at);
         let name = format!("entry-{at}");
+        let address = format!("{name}:1");
         let peers =
             Peers::new(&name, self.network.connector(process), log::none());
         let direct = Counted {
@@ -198,10 +199,10 @@
         let store = Relay::new(direct, peers.clone(), log::none());
         let host =
             Host::new(&name, log::none()).with_proxy(Arc::new(store.clone()));
-        self.network.listen(&name, process, host.clone());
+        self.network.listen(&address, process, host.clone());
         let holder = Holder {
             process: name.clone(),
-            address: name.clone(),
+            address,
             life: name.clone(),
             cores: 1.0,
         };
