Review case 11: a job of 2,400 small tasks is accepted and never begins

Cause: all starts for one worker go into one answer, each with the whole specification. Beyond 8 MiB the agent gets an error in place of its orders, and the planner repeats them.

No product code.

--- a/review/lib-3/src/crash.rs
+++ b/review/lib-3/src/crash.rs
@@ -56,9 +56,10 @@
     for (state, id) in shown.iter().zip([SHORT, LASTING]) {
         let of_job = |run: &&Run| run.task.starts_with(id);
         let began = runs.iter().filter(of_job).count();
-        let failed = runs.iter().filter(of_job).filter(|run| {
-            run.ended.is_some_and(|(_, how)| how == "failed")
-        });
+        let failed = runs
+            .iter()
+            .filter(of_job)
+            .filter(|run| run.ended.is_some_and(|(_, how)| how == "failed"));
         let failed = failed.count();
         site.record.line(format!(
             "{id} is shown as {state:?} after {began} runs, of which {failed} \
--- a/review/lib-3/src/main.rs
+++ b/review/lib-3/src/main.rs
@@ -11,6 +11,7 @@
 mod reread;
 mod site;
 mod store;
+mod wide;
 mod worker;
 
 use std::path::PathBuf;
@@ -28,6 +29,7 @@
         "reread" => reread::play(trouble, &record),
         "crash" => crash::play(trouble, &record),
         "leave" => leave::play(trouble, &record),
+        "wide" => wide::play(trouble, &record),
         _ => {
             eprintln!("no such case: {case}");
             std::process::exit(2);
--- a/review/lib-3/src/record.rs
+++ b/review/lib-3/src/record.rs
@@ -69,9 +69,9 @@
         self.line(format!("{worker}: {task} run {run} ends: {how}"));
         let now = self.now_ms();
         let mut runs = self.runs.lock().unwrap();
-        let found = runs.iter_mut().find(|r| {
-            r.task == task && r.run == run && r.worker == worker
-        });
+        let found = runs
+            .iter_mut()
+            .find(|r| r.task == task && r.run == run && r.worker == worker);
         if let Some(found) = found {
             found.ended = Some((now, how));
         }
@@ -83,9 +83,9 @@
         ));
         let now = self.now_ms();
         let mut runs = self.runs.lock().unwrap();
-        let found = runs.iter_mut().find(|r| {
-            r.task == task && r.run == run && r.worker == worker
-        });
+        let found = runs
+            .iter_mut()
+            .find(|r| r.task == task && r.run == run && r.worker == worker);
         if let Some(found) = found {
             found.noted_ms = Some(now);
         }
--- a/review/lib-3/src/site.rs
+++ b/review/lib-3/src/site.rs
@@ -237,7 +237,8 @@
 
     /// Calls the entry as a client does.
     pub fn call(&self, method: &str, id: &str, body: &str) -> Option<u16> {
-        self.call_for_body(method, id, body).map(|(status, _)| status)
+        self.call_for_body(method, id, body)
+            .map(|(status, _)| status)
     }
 
     fn call_for_body(
@@ -253,8 +254,14 @@
             ("credential", KEY),
             ("deadline", "3000"),
         ];
-        let reply =
-            http::call(self.front, method, &path, &headers, body, CLIENT_LIMIT);
+        let reply = http::call(
+            self.front,
+            method,
+            &path,
+            &headers,
+            body,
+            CLIENT_LIMIT,
+        );
         let status = reply.as_ref().map(|(status, _)| *status);
         let text = reply.as_ref().map_or("", |(_, body)| body);
         self.record
--- a/review/lib-3/src/store.rs
+++ b/review/lib-3/src/store.rs
@@ -218,7 +218,13 @@
                 let id = state.last_lease;
                 let ttl_time = Duration::from_millis(ttl);
                 let until = Instant::now() + ttl_time;
-                state.leases.insert(id, Lease { ttl: ttl_time, until });
+                state.leases.insert(
+                    id,
+                    Lease {
+                        ttl: ttl_time,
+                        until,
+                    },
+                );
                 (200, json!({"lease": id, "ttl_ms": ttl}))
             }
             ("POST", path) if path.starts_with("/api/kv-keep/") => {
--- a/review/lib-3/src/worker.rs
+++ b/review/lib-3/src/worker.rs
@@ -182,7 +182,8 @@
             (life.id.clone(), body)
         };
         let path = format!("/api/pool/{id}");
-        let headers = [("host", "agent"), ("content-type", "application/json")];
+        let headers =
+            [("host", "agent"), ("content-type", "application/json")];
         let reply = http::call(
             self.kind.control,
             "PUT",
@@ -318,7 +319,10 @@
         }
         // The specification says how long the task works, in ms.
         let spec = body["spec"].as_str().unwrap_or_default();
-        let work = spec.parse().map_or(Duration::ZERO, Duration::from_millis);
+        let work = spec
+            .trim()
+            .parse()
+            .map_or(Duration::ZERO, Duration::from_millis);
         record.begin(&task, run, &self.id);
         self.running.insert(
             task,
@@ -383,9 +387,10 @@
             json!([task, running.run, "", percent, 1000])
         });
         let running: Vec<Value> = running.collect();
-        let ends = self.ends.iter().take(500).map(|end| {
-            json!([end.number, end.task, end.run, end.how, ""])
-        });
+        let ends =
+            self.ends.iter().take(500).map(|end| {
+                json!([end.number, end.task, end.run, end.how, ""])
+            });
         let ends: Vec<Value> = ends.collect();
         let reply = json!({"currentTimeMs": self.time_ms(),
             "running": running, "finished": ends});
