Review: cases 10 and 11 are dropped, the lost machine becomes case 10

Change: their folders and the parts of the stand-ins that only they used are removed; case 12 becomes case 10. No product code.

--- a/review/lib-3/src/main.rs
+++ b/review/lib-3/src/main.rs
@@ -4,14 +4,12 @@
 //! with 2 if the case could not run. With `TROUBLE=0` in the environment a
 //! case does the same without its disruption.
 
-mod crash;
 mod http;
 mod leave;
 mod record;
 mod reread;
 mod site;
 mod store;
-mod wide;
 mod worker;
 
 use std::path::PathBuf;
@@ -27,9 +25,7 @@
     let record = PathBuf::from(folder).join("record.txt");
     let broken = match case.as_str() {
         "reread" => reread::play(trouble, &record),
-        "crash" => crash::play(trouble, &record),
         "leave" => leave::play(trouble, &record),
-        "wide" => wide::play(trouble, &record),
         _ => {
             eprintln!("no such case: {case}");
             std::process::exit(2);
