Review case 10: work of a machine that has left stands still while planners change

Cause: an end that was read while the store is down is forgotten with the claim, its agent leaves with its machine, and each new planner waits 12.8 s from its own claim before it takes such runs for lost.

No product code.

--- a/review/lib-3/src/main.rs
+++ b/review/lib-3/src/main.rs
@@ -4,6 +4,7 @@
 //! with 2 if the case could not run. With `TROUBLE=0` in the environment a
 //! case does the same without its disruption.
 
+mod drained;
 mod http;
 mod leave;
 mod record;
@@ -25,6 +26,7 @@
     let record = PathBuf::from(folder).join("record.txt");
     let broken = match case.as_str() {
         "reread" => reread::play(trouble, &record),
+        "drained" => drained::play(trouble, &record),
         "leave" => leave::play(trouble, &record),
         _ => {
             eprintln!("no such case: {case}");
--- a/review/lib-3/src/store.rs
+++ b/review/lib-3/src/store.rs
@@ -110,6 +110,15 @@
         self.state.lock().unwrap().armed = Some(outage);
     }
 
+    /// Lets the store go silent now.
+    pub fn go_down(&self, lasts: Duration) {
+        let mut state = self.state.lock().unwrap();
+        state.silent_until = Some(Instant::now() + lasts);
+        state.outages += 1;
+        let ms = lasts.as_millis();
+        self.record.line(format!("the store goes down for {ms} ms"));
+    }
+
     /// Returns how many outages there were.
     pub fn outages(&self) -> u32 {
         self.state.lock().unwrap().outages
--- a/review/lib-3/src/worker.rs
+++ b/review/lib-3/src/worker.rs
@@ -69,6 +69,8 @@
     /// The highest run of each task that stopped or ended here.
     barred: BTreeMap<String, u64>,
     sequence: u64,
+    /// When the worker ends, once it drains.
+    ends_at: Option<Instant>,
 }
 
 struct State {
@@ -128,6 +130,7 @@
             lapsed_end: 0,
             barred: BTreeMap::new(),
             sequence: 0,
+            ends_at: None,
         });
         let serving = self.clone();
         state.server = Some(Server::start(
@@ -141,7 +144,7 @@
         let mut state = self.state.lock().unwrap();
         let server = state.server.take();
         if let Some(life) = state.life.take() {
-            self.record.line(format!("{}: crashes", life.id));
+            self.record.line(format!("{}: ends", life.id));
             for (task, running) in &life.running {
                 let run = running.run;
                 self.record.end(task, run, &life.id, "lost with its worker");
@@ -153,6 +156,35 @@
         }
     }
 
+    /// Announces that the worker ends after some time.
+    pub fn drain(&self, within: Duration) {
+        let mut state = self.state.lock().unwrap();
+        if let Some(life) = &mut state.life {
+            self.record.line(format!("{}: drains", life.id));
+            life.ends_at = Some(Instant::now() + within);
+        }
+    }
+
+    /// Says goodbye and ends.
+    pub fn leave(&self) {
+        let id = {
+            let state = self.state.lock().unwrap();
+            state.life.as_ref().map(|life| life.id.clone())
+        };
+        if let Some(id) = id {
+            let path = format!("/api/pool/{id}");
+            let limit = Duration::from_secs(1);
+            let headers = [("host", "agent")];
+            let control = self.kind.control;
+            let reply =
+                http::call(control, "DELETE", &path, &headers, "", limit);
+            let status = reply.map(|(status, _)| status);
+            self.record
+                .line(format!("{id}: says goodbye -> {status:?}"));
+        }
+        self.crash();
+    }
+
     /// Returns how many tasks run.
     pub fn running(&self) -> usize {
         let state = self.state.lock().unwrap();
@@ -160,6 +192,7 @@
     }
 
     fn report(&self) {
+        let drains;
         let (id, body) = {
             let mut state = self.state.lock().unwrap();
             let Some(life) = &mut state.life else {
@@ -169,7 +202,7 @@
             };
             life.sequence += 1;
             let gpus = self.kind.gpus;
-            let body = json!({
+            let mut body = json!({
                 "service": self.kind.service,
                 "address": self.kind.app.to_string(),
                 "zone": self.kind.zone, "version": "v1", "slots": 8,
@@ -179,6 +212,12 @@
                 "currentTimeMs": life.time_ms(),
                 "sequence": life.sequence,
             });
+            drains = life.ends_at.is_some();
+            if let Some(ends_at) = life.ends_at {
+                let left = ends_at.saturating_duration_since(Instant::now());
+                body["state"] = json!("draining");
+                body["remainingMs"] = json!(left.as_millis() as u64);
+            }
             (life.id.clone(), body)
         };
         let path = format!("/api/pool/{id}");
@@ -195,11 +234,18 @@
         let taken = matches!(reply, Some((200..=299, _)));
         let began = Instant::now();
         let wait = if taken { HEARTBEAT } else { HEARTBEAT / 10 };
-        // A new life reports at once.
+        if taken && drains {
+            self.record
+                .line(format!("{id}: `draining` is acknowledged"));
+        }
+        // A new life reports at once, and one that begins to drain.
         while began.elapsed() < wait {
             thread::sleep(STEP);
             let state = self.state.lock().unwrap();
-            if state.life.as_ref().is_some_and(|life| life.id != id) {
+            let news = state.life.as_ref().is_some_and(|life| {
+                life.id != id || !drains && life.ends_at.is_some()
+            });
+            if news {
                 return;
             }
         }
