A planner reads the records until the store has answered

Cause: Session::read_records returned three empty listings when a listing had failed and the claim's time was over. A renewal that was under way was then answered, since leases wait while the store is down, and the planner went on without any record. It took all ends for those of removed jobs and acknowledged them, and had the runs stopped.

Change: each listing is read until it succeeds; the session drops the reading when the claim is lost. The planner's records are a type without an empty value. What was read stays true while the rest is read again, since nobody else writes progress after the claim.

Evidence, and the test that fails first: the stand-in store of the tests has outages that begin with a call (the Nth after a claim). The test plays 12 calls x 60 lengths (50 ms to 3 s) of an outage while a planner takes over.

Stepping down instead costs a takeover each time.

--- a/src/cell/planner/mod.rs
+++ b/src/cell/planner/mod.rs
@@ -26,7 +26,6 @@
 use crate::cell::record::Part;
 use crate::cell::rpc::Answer;
 use crate::cell::writer;
-use crate::cell::writer::Records;
 use crate::cell::writer::Written;
 use crate::graph::AgentId;
 use crate::graph::Job;
@@ -95,6 +94,18 @@
     since: Instant,
 }
 
+/// All records of jobs, as the store has answered. There is no empty value: a
+/// read that failed is not one that found nothing.
+#[derive(Debug)]
+pub struct Records {
+    /// The jobs' progress that earlier planners have written.
+    pub progress: Listing,
+    /// The parts of the progress of jobs that are stored in parts.
+    pub parts: Listing,
+    /// The jobs and cancellations that entries have written.
+    pub intake: Listing,
+}
+
 /// The arguments of a planner's start.
 pub struct Arguments<S> {
     /// The store.
@@ -107,12 +118,8 @@
     pub advice: Option<advice::Sender>,
     /// The timing bounds and the policy of the scheduler.
     pub options: Options,
-    /// The jobs and cancellations that entries have written so far.
-    pub intake: Listing,
-    /// The jobs' progress that earlier planners have written.
-    pub progress: Listing,
-    /// The parts of the progress of jobs that are stored in parts.
-    pub parts: Listing,
+    /// What the store held when the claim was made.
+    pub records: Records,
     /// Set to `true` once the claim is lost.
     pub claim_lost: watch::Sender<bool>,
     /// The log.
@@ -127,7 +134,7 @@
     advice: Option<advice::Sender>,
     advice_pending: bool,
     scheduler: Scheduler,
-    records: Records,
+    records: writer::Records,
     /// The progress of jobs whose acceptance was not read yet.
     unclaimed_progress: BTreeMap<String, Progress>,
     /// The jobs whose progress cannot be decoded. Their past runs are unknown,
@@ -228,7 +235,7 @@
             advice: arguments.advice,
             advice_pending: false,
             scheduler: Scheduler::new(arguments.options, Timestamp::now()),
-            records: Records::default(),
+            records: writer::Records::default(),
             unclaimed_progress: BTreeMap::new(),
             unreadable: BTreeSet::new(),
             cancelled_early: BTreeSet::new(),
@@ -246,8 +253,9 @@
             decision_log: Recorder::new(arguments.log.clone()),
             log: arguments.log,
         };
-        let mut parts = state.load_parts(arguments.parts);
-        for item in arguments.progress.items {
+        let records = arguments.records;
+        let mut parts = state.load_parts(records.parts);
+        for item in records.progress.items {
             state.load_progress(item, &mut parts);
         }
         // An interrupted write of a job's first record leaves no head.
@@ -255,7 +263,7 @@
             let progress = Head::default().join(parts);
             state.unclaimed_progress.insert(id, progress);
         }
-        state.apply_listing(arguments.intake);
+        state.apply_listing(records.intake);
         state
     }
 
--- a/src/cell/session.rs
+++ b/src/cell/session.rs
@@ -24,6 +24,7 @@
 use crate::cell::planner::Arguments;
 use crate::cell::planner::Message;
 use crate::cell::planner::Planner;
+use crate::cell::planner::Records;
 use crate::cell::planner::REPORT_HOLD;
 use crate::cell::relay::call::Call;
 use crate::cell::relay::call::Reply;
@@ -226,11 +227,11 @@
                     "token" => claim.token);
                 let planned = self.plan(&claim, stop).await;
                 // Only this process could have held the claim until then.
-                others.past = *planned.as_ref().unwrap_or(&None);
+                others.past = planned;
                 self.host.set(None);
                 count_claim("given up");
                 slog::info!(self.log, "planner: has stepped down";
-                    "token" => claim.token, "outcome" => ?planned);
+                    "token" => claim.token, "in_its_place" => planned);
                 // Ending the lease lets this process or another one claim at
                 // once.
                 if claim.holds() {
@@ -298,17 +299,17 @@
         &self,
         claim: &Claim,
         mut stop: watch::Receiver<bool>,
-    ) -> Result<Option<Revision>, Error> {
+    ) -> Option<Revision> {
         let claimed = Instant::now();
         let mut replaced = std::pin::pin!(self.wait_until_replaced(claim));
-        let (progress, parts, intake) = tokio::select! {
+        let records = tokio::select! {
             biased;
-            read = self.read_records(claim) => read?,
-            by = &mut replaced => return Ok(by),
-            () = self.renew(claim) => return Ok(None),
-            _ = stop.changed() => return Ok(None),
+            records = self.read_records() => records,
+            by = &mut replaced => return by,
+            () = self.renew(claim) => return None,
+            _ = stop.changed() => return None,
         };
-        let after = intake.revision;
+        let after = records.intake.revision;
         let (claim_lost, mut lost_signal) = watch::channel(false);
         let arguments = Arguments {
             store: self.store.clone(),
@@ -316,9 +317,7 @@
             source: self.source.clone(),
             advice: self.advice.clone(),
             options: self.options,
-            intake,
-            progress,
-            parts,
+            records,
             claim_lost,
             log: self.log.clone(),
         };
@@ -328,7 +327,7 @@
             Err(error) => {
                 slog::error!(self.log, "planner: cannot start";
                     "error" => %error);
-                return Ok(None);
+                return None;
             }
         };
         let took = claimed.elapsed().as_secs_f64();
@@ -347,7 +346,7 @@
         };
         self.host.set(None);
         planner.stop(None);
-        Ok(by)
+        by
     }
 
     /// Waits until the claim is no longer in the store, or was not seen there
@@ -382,23 +381,27 @@
     }
 
     /// Reads the progress and the accepted jobs that earlier planners and all
-    /// entries have written.
-    async fn read_records(
-        &self,
-        claim: &Claim,
-    ) -> Result<(Listing, Listing, Listing), Error> {
+    /// entries have written, however long the store does not answer.
+    ///
+    /// The caller drops the call once the claim is lost. A planner must not
+    /// begin without the records: it would take running tasks for nobody's.
+    /// Since the claim was made nobody else writes progress, so a listing that
+    /// was read stays true while the others are read again.
+    async fn read_records(&self) -> Records {
+        Records {
+            progress: self.read_all(keys::PROGRESS_PREFIX).await,
+            parts: self.read_all(keys::PART_PREFIX).await,
+            // Last, because the watch continues from its revision.
+            intake: self.read_all(keys::INTAKE_PREFIX).await,
+        }
+    }
+
+    /// Reads the keys with a prefix, and retries until the store answers.
+    async fn read_all(&self, prefix: &str) -> Listing {
         loop {
-            // Accepted jobs are read last, because the watch continues from
-            // their revision.
-            let progress = self.list(keys::PROGRESS_PREFIX).await;
-            let parts = self.list(keys::PART_PREFIX).await;
-            let intake = self.list(keys::INTAKE_PREFIX).await;
-            match (progress, parts, intake) {
-                (Some(progress), Some(parts), Some(intake)) => {
-                    return Ok((progress, parts, intake));
-                }
-                _ if !claim.holds() => return Ok(Default::default()),
-                _ => pause(RETRY_DELAY).await,
+            match self.list(prefix).await {
+                Some(listing) => return listing,
+                None => pause(RETRY_DELAY).await,
             }
         }
     }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -66,5 +66,6 @@
 mod support;
 mod suspended;
 mod takeover;
+mod unread_records;
 mod whole_path;
 mod wide_jobs;
--- a/tests/it/memory.rs
+++ b/tests/it/memory.rs
@@ -27,6 +27,45 @@
 /// The most conditions and mutations that a transaction may have.
 const MAX_ENTRIES: usize = 32;
 
+/// How long the store takes to answer a call once an outage is planned.
+const ANSWER_TIME: Duration = Duration::from_millis(4);
+/// When the network sends a call again that the store has not received, counted
+/// from the call.
+const RESENDS: [Duration; 2] =
+    [Duration::from_millis(200), Duration::from_millis(600)];
+/// How long a client waits for an answer.
+pub const CLIENT_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// A time during which the store receives nothing and its leases wait. It
+/// begins with a call, so that tests choose the order of events.
+#[derive(Clone, Copy, Debug)]
+pub struct Outage {
+    /// The call with which the outage begins.
+    pub at: Event,
+    /// How long the store is down.
+    pub lasts: Duration,
+}
+
+/// A call of the store.
+#[derive(Clone, Copy, Debug)]
+pub enum Event {
+    /// A call after the next claim, by its number from 1.
+    AfterClaim(usize),
+    /// The next reading of the keys with a prefix.
+    List(&'static str),
+}
+
+/// How far an outage has come.
+#[derive(Clone, Copy, Debug)]
+enum OutageState {
+    /// The outage waits for its call, or for the claim before it.
+    Planned(Outage),
+    /// So many calls are left before the outage, which lasts so long.
+    Counting(usize, Duration),
+    /// The store is up from this time on.
+    Begun(Instant),
+}
+
 /// The contents of a [`Memory`] store, and the faults that it simulates.
 #[derive(Default)]
 pub struct Data {
@@ -53,6 +92,8 @@
     writes: usize,
     /// The number of requested reads of a key.
     reads: usize,
+    /// The outage, if one is planned or has begun.
+    outage: Option<OutageState>,
 }
 
 /// An in-memory store.
@@ -95,11 +136,49 @@
         self.lock().items.contains_key(key)
     }
 
+    /// Returns the value of a key, whatever the faults.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let data = self.lock();
+        data.items.get(key).map(|(item, _)| item.value.clone())
+    }
+
     /// Rejects the next calls.
     pub fn reject_calls(&self, calls: u32) {
         self.lock().calls_to_reject = calls;
     }
 
+    /// Plans an outage.
+    pub fn plan_outage(&self, outage: Outage) {
+        self.lock().outage = Some(OutageState::Planned(outage));
+    }
+
+    /// Returns whether the planned outage is over.
+    pub fn is_outage_over(&self) -> bool {
+        let now = Instant::now();
+        matches!(self.lock().outage, Some(OutageState::Begun(end)) if end <= now)
+    }
+
+    /// Waits until a call has reached the store.
+    async fn arrive(&self) -> Result<(), Error> {
+        if self.lock().outage.is_none() {
+            return Ok(());
+        }
+        let sent = Instant::now();
+        self.lock().count_call();
+        tokio::time::sleep(ANSWER_TIME).await;
+        for resend in RESENDS {
+            if !self.lock().is_down() {
+                return Ok(());
+            }
+            tokio::time::sleep_until(sent + resend).await;
+        }
+        if !self.lock().is_down() {
+            return Ok(());
+        }
+        tokio::time::sleep_until(sent + CLIENT_TIMEOUT).await;
+        Err(Error::Lost(lost_answer()))
+    }
+
     /// Returns the holder of the planner's claim.
     pub fn claim_holder(&self) -> Option<Holder> {
         let data = self.lock();
@@ -151,6 +230,52 @@
 }
 
 impl Data {
+    /// Begins the planned outage if this call is the one to begin with.
+    fn count_call(&mut self) {
+        let Some(OutageState::Counting(left, lasts)) = self.outage else {
+            return;
+        };
+        self.outage = Some(match left {
+            0 | 1 => self.begin_outage(lasts),
+            _ => OutageState::Counting(left - 1, lasts),
+        });
+    }
+
+    /// Begins the planned outage if a reading of `prefix` is the call to begin
+    /// with.
+    fn note_list(&mut self, prefix: &str) {
+        let Some(OutageState::Planned(outage)) = self.outage else {
+            return;
+        };
+        if matches!(outage.at, Event::List(planned) if planned == prefix) {
+            self.outage = Some(self.begin_outage(outage.lasts));
+        }
+    }
+
+    fn begin_outage(&mut self, lasts: Duration) -> OutageState {
+        for (deadline, _) in self.leases.values_mut() {
+            *deadline += lasts;
+        }
+        OutageState::Begun(Instant::now() + lasts)
+    }
+
+    /// Returns whether the store receives nothing now.
+    fn is_down(&self) -> bool {
+        let now = Instant::now();
+        matches!(self.outage, Some(OutageState::Begun(end)) if now < end)
+    }
+
+    /// Counts the calls from now on if a claim is made.
+    fn note_claim(&mut self, mutations: &[Mutation]) {
+        let claims = mutations.iter().any(|m| m.key() == keys::CLAIM);
+        let Some(OutageState::Planned(outage)) = self.outage else {
+            return;
+        };
+        if let (true, Event::AfterClaim(call)) = (claims, outage.at) {
+            self.outage = Some(OutageState::Counting(call, outage.lasts));
+        }
+    }
+
     /// Deletes the items that are attached to a lease.
     fn remove_lease(&mut self, lease: LeaseId) {
         let keys: Vec<String> = self
@@ -213,18 +338,22 @@
 
 impl Store for Memory {
     async fn get(&self, key: &str) -> Result<Option<Item>, Error> {
+        self.arrive().await?;
         self.lock().reads += 1;
         let data = self.begin_call()?;
         Ok(data.items.get(key).map(|(item, _)| item.clone()))
     }
 
     async fn is_unleased(&self, key: &str) -> Result<Option<bool>, Error> {
+        self.arrive().await?;
         self.lock().reads += 1;
         let data = self.begin_call()?;
         Ok(data.items.get(key).map(|(_, lease)| *lease == 0))
     }
 
     async fn list(&self, prefix: &str) -> Result<Listing, Error> {
+        self.lock().note_list(prefix);
+        self.arrive().await?;
         let data = self.begin_call()?;
         let items = data.items.values().map(|(item, _)| item.clone());
         Ok(Listing {
@@ -238,6 +367,7 @@
         conditions: &[Compare],
         mutations: Vec<Mutation>,
     ) -> Result<Swap, Error> {
+        self.arrive().await?;
         self.lock().writes += 1;
         let mut data = self.begin_call()?;
         let largest = mutations
@@ -270,6 +400,7 @@
             let items = items.map(|(item, _)| item.clone()).collect();
             return Ok(Swap::Refused(items));
         }
+        data.note_claim(&mutations);
         data.apply(mutations);
         match data.answers_to_lose {
             0 => Ok(Swap::Written(data.revision)),
@@ -281,6 +412,7 @@
     }
 
     async fn grant(&self, ttl: Duration) -> Result<LeaseId, Error> {
+        self.arrive().await?;
         let mut data = self.begin_call()?;
         data.revision += 1;
         let lease = data.revision;
@@ -289,6 +421,7 @@
     }
 
     async fn keep_alive(&self, lease: LeaseId) -> Result<bool, Error> {
+        self.arrive().await?;
         let mut data = self.begin_call()?;
         let found = data.leases.get_mut(&lease);
         Ok(found
@@ -297,6 +430,7 @@
     }
 
     async fn revoke(&self, lease: LeaseId) -> Result<(), Error> {
+        self.arrive().await?;
         let mut data = self.begin_call()?;
         data.leases.remove(&lease);
         data.remove_lease(lease);
@@ -309,14 +443,16 @@
         after: Revision,
         wait: Duration,
     ) -> Result<Changes, Error> {
+        self.arrive().await?;
         drop(self.begin_call()?);
         let deadline = Instant::now() + wait;
         let mut interval = tokio::time::interval(Duration::from_millis(5));
         loop {
             interval.tick().await;
             let data = self.lock();
-            // A waiting call also fails once calls are rejected.
-            if data.calls_to_reject > 0 {
+            // A waiting call also fails once calls are rejected, or the store
+            // is down.
+            if data.calls_to_reject > 0 || data.is_down() {
                 return Err(Error::Unreached(lost_answer()));
             }
             let matches = |change: &&Change| {
--- /dev/null
+++ b/tests/it/unread_records.rs
@@ -0,0 +1,246 @@
+//! Planners that could not read the records, or not all of them.
+//!
+//! Guards against ends that are acknowledged although nobody has kept them:
+//! the worker forgets them, and the tasks run again.
+
+use std::time::Duration;
+
+use landingvalve::cell::claim;
+use landingvalve::cell::claim::Holder;
+use landingvalve::cell::configuration::Source;
+use landingvalve::cell::keys;
+use landingvalve::cell::rpc::Answer;
+use landingvalve::cell::rpc::CellServer;
+use landingvalve::cell::session::Host;
+use landingvalve::cell::session::Session;
+use landingvalve::cell::Admission;
+use landingvalve::graph::Job;
+use landingvalve::graph::Options;
+use landingvalve::graph::Orders;
+use landingvalve::graph::Outcome;
+use landingvalve::graph::Progress;
+use landingvalve::graph::RunOutcome;
+use landingvalve::graph::Step;
+use landingvalve::log;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use crate::cell::deadline;
+use crate::cell::job;
+use crate::graph::Site;
+use crate::graph::Worker;
+use crate::memory::Event;
+use crate::memory::Memory;
+use crate::memory::Outage;
+use crate::memory::CLIENT_TIMEOUT;
+
+/// The tasks of the job, and how many of them end while nobody plans.
+const TASKS: usize = 4;
+const DONE: usize = 2;
+/// The calls of the store after a claim at which an outage begins: all of those
+/// that come before the planner's first answer, and some after it.
+const CALLS: std::ops::RangeInclusive<usize> = 1..=12;
+/// The step between the lengths of outages.
+const STEP: Duration = Duration::from_millis(50);
+/// The time within which the job is over, whatever the outage.
+const LIMIT: Duration = Duration::from_secs(60);
+/// The pause of an agent that reaches no planner.
+const AGENT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A process that plans, called without a network.
+struct Process {
+    host: Host,
+    planning: JoinHandle<()>,
+    _stop: watch::Sender<bool>,
+}
+
+impl Process {
+    fn start(name: &str, store: &Memory) -> Process {
+        let host = Host::new(name, log::none());
+        let session = Session {
+            store: store.clone(),
+            holder: Holder {
+                process: name.to_owned(),
+                address: String::new(),
+                life: name.to_owned(),
+                cores: 1.0,
+            },
+            host: host.clone(),
+            source: Source::new(),
+            advice: None,
+            options: Options::default(),
+            log: log::none(),
+        };
+        let (stop, stopped) = watch::channel(false);
+        Process {
+            host,
+            planning: tokio::spawn(session.run(stopped)),
+            _stop: stop,
+        }
+    }
+
+    /// Reports the worker and carries out the orders. Returns them, if this
+    /// process plans.
+    async fn serve(&self, worker: &mut Worker) -> Option<Orders> {
+        let answer = self.host.sync(worker.report(), None).await;
+        match answer {
+            Ok(Answer::Orders { orders, .. }) => {
+                worker.execute(&orders);
+                Some(orders)
+            }
+            Ok(Answer::NotPlanner) | Err(_) => {
+                tokio::time::sleep(AGENT_PAUSE).await;
+                None
+            }
+        }
+    }
+}
+
+/// Plays in a runtime of its own, so that no process of another play goes on.
+fn in_virtual_time<T>(play: impl std::future::Future<Output = T>) -> T {
+    // The jitter of retries is the same in each run of the tests.
+    fastrand::seed(0);
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_all().start_paused(true).build();
+    runtime.expect("a runtime").block_on(play)
+}
+
+/// Returns a job of [`TASKS`] tasks.
+fn wide_job() -> Job {
+    let narrow = job("a");
+    let step = Step {
+        replicas: TASKS as u32,
+        ..narrow.steps[0].clone()
+    };
+    Job {
+        steps: vec![step],
+        ..narrow
+    }
+}
+
+/// A store and a worker whose tasks an earlier planner has started, some of
+/// which have ended since.
+async fn site_without_planner() -> (Memory, Worker) {
+    let store = Memory::default();
+    let mut worker = Site::new(&[("w1", "r1")]).workers.remove(0);
+    let admission = Admission::new(store.clone(), log::none());
+    admission.submit(&wide_job(), deadline()).await;
+    let first = Process::start("first", &store);
+    let until = Instant::now() + LIMIT;
+    while worker.running.len() < TASKS {
+        assert!(Instant::now() < until, "the tasks do not start");
+        first.serve(&mut worker).await;
+    }
+    first.planning.abort();
+    worker.end(RunOutcome::Done, |run| (run.task.index as usize) < DONE);
+    (store, worker)
+}
+
+/// Returns the stored progress of the job.
+fn stored(store: &Memory) -> Progress {
+    let value = store.value(&keys::progress("a"));
+    let progress = value.map(|value| serde_json::from_slice(&value));
+    let progress = progress.transpose().expect("is readable");
+    progress.unwrap_or_default()
+}
+
+/// Plays an outage while a second planner takes over. Returns what it breaks.
+async fn play(outage: Outage) -> Option<String> {
+    let (store, mut worker) = site_without_planner().await;
+    store.plan_outage(outage);
+    let second = Process::start("second", &store);
+    let until = Instant::now() + LIMIT;
+    while stored(&store).outcome.is_none() {
+        if Instant::now() >= until {
+            return Some("the job does not end".to_owned());
+        }
+        let Some(orders) = second.serve(&mut worker).await else {
+            continue;
+        };
+        let progress = stored(&store);
+        let done = progress.units.values().filter(|unit| unit.done).count();
+        if orders.noted > done as u64 {
+            let noted = orders.noted;
+            return Some(format!("{noted} ends acknowledged, {done} stored"));
+        }
+        if !orders.stops.is_empty() {
+            return Some(format!("stopped: {:?}", orders.stops));
+        }
+        if store.is_outage_over() {
+            worker.end(RunOutcome::Done, |_| true);
+        }
+    }
+    second.planning.abort();
+    let outcome = stored(&store).outcome;
+    let starts = worker.started_runs.len();
+    (outcome != Some(Outcome::Succeeded) || starts != TASKS)
+        .then(|| format!("{outcome:?} after {starts} starts"))
+}
+
+/// Guards against a planner that took three reads that had failed for three
+/// empty answers: it acknowledged the ends of jobs that it did not know and
+/// stopped their runs, and the next planner began done tasks again.
+#[test]
+fn a_planner_whose_reads_fail_while_its_claim_goes_on_takes_nothing_for_empty()
+{
+    let longest = claim::TTL + CLIENT_TIMEOUT;
+    let mut broken = Vec::new();
+    for call in CALLS {
+        let mut lasts = STEP;
+        while lasts <= longest {
+            let at = Event::AfterClaim(call);
+            let outage = Outage { at, lasts };
+            if let Some(why) = in_virtual_time(play(outage)) {
+                broken.push(format!("{outage:?}: {why}"));
+            }
+            lasts += STEP;
+        }
+    }
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// Plays an outage that begins as the planner reads what a lost worker's agent
+/// has saved. Returns what it breaks.
+async fn play_loss(lasts: Duration) -> Option<String> {
+    let store = Memory::default();
+    let mut workers = Site::new(&[("w1", "r1"), ("w2", "r1")]).workers;
+    let (mut other, mut lost) = (workers.remove(1), workers.remove(0));
+    let admission = Admission::new(store.clone(), log::none());
+    admission.submit(&wide_job(), deadline()).await;
+    let process = Process::start("entry", &store);
+    let until = Instant::now() + LIMIT;
+    while lost.running.len() < TASKS {
+        assert!(Instant::now() < until, "the tasks do not start");
+        process.serve(&mut lost).await;
+    }
+    let at = Event::List(keys::REPORT_PREFIX);
+    store.plan_outage(Outage { at, lasts });
+    while stored(&store).outcome.is_none() {
+        if Instant::now() >= until {
+            return Some("the job does not end".to_owned());
+        }
+        process.serve(&mut other).await;
+        if store.is_outage_over() {
+            other.end(RunOutcome::Done, |_| true);
+        }
+    }
+    process.planning.abort();
+    None
+}
+
+/// Guards against runs that are never settled. A planner whose claim lapsed
+/// while it read the saved reports of a lost worker's agent gave up the reading
+/// for good, and a renewal that was under way kept it planning.
+#[test]
+fn saved_reports_that_could_not_be_read_are_read_again() {
+    let mut broken = Vec::new();
+    let mut lasts = STEP;
+    while lasts <= claim::TTL + CLIENT_TIMEOUT {
+        if let Some(why) = in_virtual_time(play_loss(lasts)) {
+            broken.push(format!("{lasts:?}: {why}"));
+        }
+        lasts += STEP;
+    }
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
