Saved reports that could not be read are asked for again

Callers would see a job stand still for good: the runs of a lost worker are never settled, and nothing is logged.

Cause: a planner reads what the agents of silent workers have saved before it settles their runs, and marks these agents' queries as sent. inquiry::read gave up for good once the claim had lapsed, without a line, and nothing made the queries pending again. But a lapsed claim is held again if a renewal that is under way succeeds, and the planner goes on.

Change: one read, whose failure comes back to the planner as a message; the agents' queries are pending again, and the next pass asks anew. A line tells each failure. Claim::holds says that `false` is not the end.

Others of the kind: ask_advice, write and remove_ended always report back; a write given up at a lapsed claim ends its planner.

--- a/src/cell/claim/mod.rs
+++ b/src/cell/claim/mod.rs
@@ -103,6 +103,10 @@
     }
 
     /// Returns whether the claim certainly holds now.
+    ///
+    /// `false` is not the end: a renewal that is under way may still succeed,
+    /// as leases wait while the store is down, and the claim then holds again.
+    /// Whoever gives something up at `false` has to end its planner with it.
     pub fn holds(&self) -> bool {
         self.valid_until().is_future()
     }
--- a/src/cell/inquiry.rs
+++ b/src/cell/inquiry.rs
@@ -1,42 +1,60 @@
 //! Reads the reports that agents saved in the store while they reached no
 //! planner.
 
-use std::time::Duration;
-
 use tokio::time::Instant;
 
-use crate::cell::claim::Claim;
 use crate::cell::keys;
-use crate::cell::pause;
+use crate::graph::AgentId;
 use crate::graph::Report;
 use crate::log::excerpt;
+use crate::store::Error;
 use crate::store::Item;
 use crate::store::Store;
 
-/// The delay before a failed read is retried.
-const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// What agents had saved when it was read.
+#[derive(Debug)]
+pub struct SavedReports {
+    /// The agents whose reports were asked for.
+    pub agents: Vec<AgentId>,
+    /// The reports of all agents that have saved one.
+    pub reports: Vec<Report>,
+    /// When the read was sent.
+    pub sent: Instant,
+}
 
-/// Returns the saved reports and the time at which the read was sent, or
-/// `None` once the claim is over.
+/// Reads the saved reports for `agents`.
+///
+/// # Errors
+///
+/// If the store does not answer. Nothing is known of the agents then; they have
+/// to be asked for again.
 pub(super) async fn read(
     store: &impl Store,
-    claim: &Claim,
+    agents: Vec<AgentId>,
     log: &slog::Logger,
-) -> Option<(Vec<Report>, Instant)> {
-    while claim.holds() {
-        let sent = Instant::now();
-        match store.list(keys::REPORT_PREFIX).await {
-            Ok(listing) => {
-                let items = listing.items.iter();
-                let reports = items.filter_map(|item| decode(item, log));
-                return Some((reports.collect(), sent));
-            }
-            Err(error) => slog::debug!(log,
-                "planner: saved reports could not be read"; "error" => %error),
+) -> Result<SavedReports, Unread> {
+    let sent = Instant::now();
+    match store.list(keys::REPORT_PREFIX).await {
+        Ok(listing) => {
+            let items = listing.items.iter();
+            let reports = items.filter_map(|item| decode(item, log));
+            Ok(SavedReports {
+                agents,
+                reports: reports.collect(),
+                sent,
+            })
         }
-        pause(RETRY_DELAY).await;
+        Err(source) => Err(Unread { agents, source }),
     }
-    None
+}
+
+/// The saved reports of agents could not be read.
+#[derive(Debug, thiserror::Error)]
+#[error("the saved reports of {} agents: {source}", agents.len())]
+pub struct Unread {
+    /// The agents whose reports were asked for.
+    pub agents: Vec<AgentId>,
+    source: Error,
 }
 
 fn decode(item: &Item, log: &slog::Logger) -> Option<Report> {
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -20,7 +20,7 @@
 pub mod connector;
 mod cursor;
 mod decision_log;
-mod inquiry;
+pub mod inquiry;
 mod intake;
 pub mod keys;
 pub mod member;
--- a/src/cell/planner/calls.rs
+++ b/src/cell/planner/calls.rs
@@ -9,6 +9,8 @@
 
 use crate::cell::advice;
 use crate::cell::inquiry;
+use crate::cell::inquiry::SavedReports;
+use crate::cell::inquiry::Unread;
 use crate::cell::keys;
 use crate::cell::planner::Message;
 use crate::cell::planner::State;
@@ -62,36 +64,41 @@
             return;
         }
         let store = self.store.clone();
-        let claim = self.claim.clone();
         let log = self.log.clone();
         let myself = myself.clone();
         tokio::spawn(async move {
-            let Some((saved, sent)) =
-                inquiry::read(&store, &claim, &log).await
-            else {
-                return;
-            };
+            let read = inquiry::read(&store, agents, &log).await;
             // A stopped planner needs no answer.
-            let _ = myself.cast(Message::SavedReports(agents, saved, sent));
+            let _ = myself.cast(Message::SavedReports(read));
         });
     }
 
     pub(super) fn apply_saved_reports(
         &mut self,
-        agents: &[AgentId],
-        saved: Vec<Report>,
-        sent: Instant,
+        read: Result<SavedReports, Unread>,
     ) {
+        let saved = match read {
+            Ok(saved) => saved,
+            Err(unread) => {
+                slog::warn!(self.log,
+                    "planner: saved reports could not be read";
+                    "agents" => unread.agents.len(), "error" => %unread,
+                    "token" => self.claim.token);
+                self.scheduler.reopen_inquiries(&unread.agents);
+                return;
+            }
+        };
         let now = Timestamp::now();
-        let mut saved: BTreeMap<AgentId, Report> =
-            saved.into_iter().map(|r| (r.agent.clone(), r)).collect();
-        for agent in agents {
-            let report = saved.remove(agent);
+        let reports = saved.reports.into_iter();
+        let mut reports: BTreeMap<AgentId, Report> =
+            reports.map(|r| (r.agent.clone(), r)).collect();
+        for agent in &saved.agents {
+            let report = reports.remove(agent);
             slog::info!(self.log, "planner: an agent is unresponsive";
                 "agent" => &**agent, "kept" => report.is_some(),
                 "token" => self.claim.token);
-            self.scheduler
-                .apply_inquiry(agent, report, sent.into_std(), now);
+            let sent = saved.sent.into_std();
+            self.scheduler.apply_inquiry(agent, report, sent, now);
         }
     }
 
--- a/src/cell/planner/mod.rs
+++ b/src/cell/planner/mod.rs
@@ -18,6 +18,8 @@
 use crate::cell::claim::Claim;
 use crate::cell::configuration::Source;
 use crate::cell::decision_log::Recorder;
+use crate::cell::inquiry::SavedReports;
+use crate::cell::inquiry::Unread;
 use crate::cell::intake;
 use crate::cell::keys;
 use crate::cell::keys::Intake;
@@ -72,9 +74,9 @@
     Written(Result<Written, writer::Lost>),
     /// The jobs whose records were removed; empty if the removal failed.
     Removed(Vec<JobId>),
-    /// The saved reports that were read for unresponsive agents, and when the
-    /// read was sent.
-    SavedReports(Vec<AgentId>, Vec<Report>, Instant),
+    /// The saved reports that were read for unresponsive agents, or that they
+    /// could not be read.
+    SavedReports(Result<SavedReports, Unread>),
     /// A question, the tickets if it was answered, and when it was asked.
     Advice(Question, Option<Vec<Ticket>>, Instant),
     /// Decide, write and answer, as far as each is due.
@@ -199,9 +201,7 @@
             Message::Listing(listing) => state.apply_listing(listing),
             Message::Written(written) => state.record_written(written),
             Message::Removed(ids) => state.forget_removed(&ids),
-            Message::SavedReports(agents, saved, sent) => {
-                state.apply_saved_reports(&agents, saved, sent);
-            }
+            Message::SavedReports(read) => state.apply_saved_reports(read),
             Message::Advice(question, tickets, sent) => {
                 state.advice_pending = false;
                 state.scheduler.apply_advice(
--- a/src/graph/inquiry.rs
+++ b/src/graph/inquiry.rs
@@ -27,7 +27,8 @@
 impl Scheduler {
     /// Returns the agents whose members are about to be considered lost, each
     /// once. The caller reads what these agents have saved and passes it to
-    /// [`Scheduler::apply_inquiry`].
+    /// [`Scheduler::apply_inquiry`], or the agents to
+    /// [`Scheduler::reopen_inquiries`] if the reports could not be read.
     pub fn take_inquiries(&mut self) -> Vec<AgentId> {
         let open = self
             .inquiries
@@ -40,6 +41,15 @@
         .collect()
     }
 
+    /// Makes queries pending again that were not answered.
+    pub fn reopen_inquiries(&mut self, agents: &[AgentId]) {
+        for agent in agents {
+            if let Some(inquiry) = self.inquiries.get_mut(agent) {
+                *inquiry = Inquiry::Pending;
+            }
+        }
+    }
+
     /// Applies the report that an agent has saved, as read by a call that was
     /// sent at `sent`, or `None` if the agent has saved nothing.
     pub fn apply_inquiry(
