Ends of a job whose records cannot be read are kept, not dropped

Callers would see tasks that were done run again, and running ones stopped, of a job of which one record cannot be decoded (another version's, a damaged one) or is gone.

Cause: begin_orders acknowledged the ends of any job that the planner did not know, and apply_running had its runs stopped: "unknown to me" was taken for "removed".

Change: the planner tells the scheduler which jobs exist unread (graph/unreadable.rs). Nothing of an unreadable job begins, its runs go on and keep their room (the whole worker if even the job is unknown), and their ends are written to lv/in/ID/ends under the claim before they are acknowledged. They are applied by the planner that can read the job. A cancel stops its runs. Holding back the acknowledgements was weighed instead: a worker lists 500 ends at once, so one damaged record would stop all later ends of its workers.

Ends of a removed job are acknowledged as before (guarded).

--- a/src/cell/keys.rs
+++ b/src/cell/keys.rs
@@ -6,6 +6,7 @@
 //! | `lv/strongest` | entries | the strongest process so far claims |
 //! | `lv/in/ID/job` | entries | a job is accepted |
 //! | `lv/in/ID/cancel` | entries | a job is cancelled; under a lease if there is no such job |
+//! | `lv/in/ID/ends` | planner | runs end of a job that it cannot read |
 //! | `lv/queue/QUEUE/ID` | entries, planner | while an accepted job waits |
 //! | `lv/progress/ID` | planner | a run is ordered, or has ended |
 //! | `lv/part/ID/PART` | planner | the same, for units that are stored in parts |
@@ -60,6 +61,12 @@
     format!("{INTAKE_PREFIX}{id}/cancel")
 }
 
+/// Returns the key of the ends that are kept for a job while it cannot be read.
+/// Versions of the program that keep none pass it over.
+pub fn ends(id: &str) -> String {
+    format!("{INTAKE_PREFIX}{id}/ends")
+}
+
 /// Returns the key of a job's progress.
 pub fn progress(id: &str) -> String {
     format!("{PROGRESS_PREFIX}{id}")
@@ -108,13 +115,15 @@
     }
 }
 
-/// A record that entries write for the planner.
+/// A record below [`INTAKE_PREFIX`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Intake<'a> {
     /// An accepted job, by its name.
     Job(&'a str),
     /// The cancellation of a job, by the job's name.
     Cancel(&'a str),
+    /// The ends that are kept for a job, by the job's name.
+    Ends(&'a str),
 }
 
 /// Parses a key below [`INTAKE_PREFIX`].
@@ -123,6 +132,7 @@
     match kind {
         "job" => Some(Intake::Job(id)),
         "cancel" => Some(Intake::Cancel(id)),
+        "ends" => Some(Intake::Ends(id)),
         _ => None,
     }
 }
--- a/src/cell/planner/calls.rs
+++ b/src/cell/planner/calls.rs
@@ -28,9 +28,9 @@
 /// How long records of ended jobs are kept; callers may ask for a job for 120
 /// s.
 const RECORD_RETENTION: Duration = Duration::from_secs(600);
-/// The most jobs whose records are removed in one transaction, with three
+/// The most jobs whose records are removed in one transaction, with four
 /// entries for each.
-const MAX_REMOVED_JOBS: usize = 8;
+const MAX_REMOVED_JOBS: usize = 7;
 /// The most keys of parts that are removed in one transaction.
 const MAX_REMOVED_KEYS: usize = 30;
 
@@ -106,14 +106,15 @@
         if self.writing {
             return;
         }
-        let batch = self.scheduler.take_unwritten(writer::MAX_BATCH_JOBS);
-        if batch.is_empty() {
+        let jobs = self.scheduler.take_unwritten(writer::MAX_BATCH_JOBS);
+        let ends = self.scheduler.take_unwritten_ends(writer::MAX_BATCH_JOBS);
+        if jobs.is_empty() && ends.is_empty() {
             return;
         }
         self.writing = true;
         let store = self.store.clone();
         let claim = self.claim.clone();
-        let batch = Batch::new(batch, &self.records);
+        let batch = Batch::new(jobs, ends, &self.records);
         let myself = myself.clone();
         tokio::spawn(async move {
             let written = match batch {
@@ -145,7 +146,8 @@
             .flat_map(|id| self.records.part_keys(id))
             .collect();
         let heads = ids.iter().flat_map(|id| {
-            [keys::job(id), keys::cancel(id), keys::progress(id)]
+            let progress = keys::progress(id);
+            [keys::job(id), keys::cancel(id), keys::ends(id), progress]
         });
         let mut removals: Vec<Vec<String>> =
             parts.chunks(MAX_REMOVED_KEYS).map(<[_]>::to_vec).collect();
--- a/src/cell/planner/mod.rs
+++ b/src/cell/planner/mod.rs
@@ -32,6 +32,7 @@
 use crate::graph::AgentId;
 use crate::graph::Job;
 use crate::graph::JobId;
+use crate::graph::KeptEnd;
 use crate::graph::Options;
 use crate::graph::Progress;
 use crate::graph::Question;
@@ -139,9 +140,11 @@
     records: writer::Records,
     /// The progress of jobs whose acceptance was not read yet.
     unclaimed_progress: BTreeMap<String, Progress>,
-    /// The jobs whose progress cannot be decoded. Their past runs are unknown,
-    /// so nothing of them may begin.
+    /// The jobs whose progress or kept ends cannot be decoded. Their past runs
+    /// are unknown, so nothing of them may begin.
     unreadable: BTreeSet<String>,
+    /// The ends that are kept for jobs that were not read yet.
+    kept_ends: BTreeMap<String, Vec<KeptEnd>>,
     /// The cancelled jobs that were not accepted, as the store shows them.
     cancelled_early: BTreeSet<String>,
     writing: bool,
@@ -238,6 +241,7 @@
             records: writer::Records::default(),
             unclaimed_progress: BTreeMap::new(),
             unreadable: BTreeSet::new(),
+            kept_ends: BTreeMap::new(),
             cancelled_early: BTreeSet::new(),
             writing: false,
             removing: false,
@@ -264,9 +268,51 @@
             state.unclaimed_progress.insert(id, progress);
         }
         state.apply_listing(records.intake);
+        state.add_jobs_without_record();
         state
     }
 
+    /// Adds the jobs that have progress, but no record that can be read.
+    fn add_jobs_without_record(&mut self) {
+        let ids = self.unreadable.iter();
+        let ids = ids.chain(self.unclaimed_progress.keys());
+        let ids: BTreeSet<String> =
+            ids.chain(self.kept_ends.keys()).cloned().collect();
+        for id in ids {
+            self.add_unreadable(&id, None);
+        }
+    }
+
+    /// Adds a job whose records cannot be read, with the job if that could be.
+    fn add_unreadable(&mut self, id: &str, job: Option<&Job>) {
+        if self.scheduler.has_unreadable_job(id) {
+            return;
+        }
+        slog::error!(self.log, "planner: a job cannot be read";
+            "job" => id, "steps_known" => job.is_some(),
+            "cancelled" => self.cancelled_early.contains(id),
+            "token" => self.claim.token);
+        let ends = self.kept_ends.remove(id).unwrap_or_default();
+        self.scheduler.add_unreadable_job(id.into(), job, ends);
+        if self.cancelled_early.contains(id) {
+            self.scheduler.cancel_unreadable_job(id);
+        }
+    }
+
+    /// Decodes the ends that were kept for a job that could not be read.
+    fn load_ends(&mut self, id: &str, item: &Item) {
+        let revision = item.modified;
+        self.records.revisions.insert(item.key.clone(), revision);
+        match serde_json::from_slice(&item.value) {
+            Ok(ends) => {
+                self.kept_ends.insert(id.to_owned(), ends);
+            }
+            Err(error) => {
+                self.mark_unreadable(id.to_owned(), &item.key, &error);
+            }
+        }
+    }
+
     /// Decodes the parts of jobs' progress; returns them by job.
     fn load_parts(&mut self, listing: Listing) -> BTreeMap<String, Vec<Part>> {
         let mut parts: BTreeMap<String, Vec<Part>> = BTreeMap::new();
@@ -317,8 +363,9 @@
         key: &str,
         error: &serde_json::Error,
     ) {
+        metrics::get().strange.add(1, &[label("what", "record")]);
         slog::error!(self.log,
-            "planner: a job's progress cannot be decoded";
+            "planner: a job's record cannot be decoded";
             "key" => key, "error" => excerpt(error));
         self.unreadable.insert(id);
     }
@@ -344,7 +391,10 @@
                 }
             };
             match keys::intake(&item.key) {
-                Some(Intake::Job(id)) if self.unreadable.contains(id) => {}
+                Some(Intake::Job(id)) if self.unreadable.contains(id) => {
+                    let job = intake::decode(id, &item.value).ok();
+                    self.add_unreadable(id, job.as_ref());
+                }
                 Some(Intake::Job(id)) if !self.scheduler.has_job(id) => {
                     self.accept(id, &item.value, now);
                     if self.cancelled_early.remove(id) {
@@ -352,6 +402,10 @@
                     }
                 }
                 Some(Intake::Cancel(id)) => cancelled.push(id.to_owned()),
+                // Only planners write these, and this one knows what it writes.
+                Some(Intake::Ends(id)) if !self.knows(id) => {
+                    self.load_ends(id, &item);
+                }
                 _ => {}
             }
         }
@@ -361,12 +415,17 @@
             match self.scheduler.has_job(&id) {
                 true => self.scheduler.cancel_job(&id, now),
                 false => {
+                    self.scheduler.cancel_unreadable_job(&id);
                     self.cancelled_early.insert(id);
                 }
             }
         }
     }
 
+    fn knows(&self, id: &str) -> bool {
+        self.scheduler.has_job(id) || self.scheduler.has_unreadable_job(id)
+    }
+
     fn accept(&mut self, id: &str, value: &[u8], now: Timestamp) {
         match intake::decode(id, value) {
             Ok(job) => {
@@ -379,13 +438,17 @@
                     "age_ms" => age.unwrap_or_default().as_millis() as u64,
                     "steps" => describe_steps(&job), "times" => job.times(),
                     "token" => self.claim.token);
+                let mut ends = self.kept_ends.remove(id).unwrap_or_default();
+                ends.extend(self.scheduler.take_unreadable_job(id));
                 self.scheduler.accept_job(job, progress, now);
+                self.scheduler.apply_kept_ends(&ends, now);
             }
             Err(error) => {
                 metrics::get().strange.add(1, &[label("what", "job")]);
                 slog::error!(self.log,
                     "planner: a job cannot be decoded"; "job" => id,
                     "error" => excerpt(error));
+                self.add_unreadable(id, None);
             }
         }
     }
@@ -444,6 +507,9 @@
         for job in written.jobs {
             self.scheduler.mark_written(&job.id, job.version);
         }
+        for (id, version) in written.ends {
+            self.scheduler.mark_ends_written(&id, version);
+        }
         for (id, reason) in written.rejected {
             metrics::get().records_rejected.add(1, &[]);
             slog::error!(self.log,
--- a/src/cell/writer.rs
+++ b/src/cell/writer.rs
@@ -10,6 +10,7 @@
 use crate::cell::pause;
 use crate::cell::record;
 use crate::cell::record::Encoded;
+use crate::graph::EndsUpdate;
 use crate::graph::JobId;
 use crate::graph::Progress;
 use crate::graph::ProgressUpdate;
@@ -61,6 +62,7 @@
             self.revisions.remove(&key);
         }
         self.revisions.remove(&keys::progress(id));
+        self.revisions.remove(&keys::ends(id));
         self.begun.remove(id);
         self.in_parts.remove(id);
     }
@@ -110,48 +112,108 @@
     }
 }
 
-/// Jobs' progress to write, as transactions in their order.
+/// Jobs' progress and kept ends to write, as transactions in their order.
 #[derive(Clone, Debug)]
 pub struct Batch {
     jobs: Vec<ProgressUpdate>,
+    ends: Vec<EndsUpdate>,
     transactions: Vec<Vec<Group>>,
 }
 
 impl Batch {
-    /// Returns the transactions that bring the records of `jobs` up to date.
+    /// Returns the transactions that bring the records of `jobs` and the kept
+    /// ends of other jobs up to date.
     ///
     /// # Errors
     ///
-    /// If a job's progress cannot be encoded.
+    /// If a record cannot be encoded.
     pub fn new(
         jobs: Vec<ProgressUpdate>,
+        ends: Vec<EndsUpdate>,
         records: &Records,
     ) -> Result<Batch, serde_json::Error> {
-        let mut transactions: Vec<Vec<Group>> = Vec::new();
-        let (mut entries, mut bytes) = (0, 0);
+        let mut groups = Vec::new();
         for (number, job) in jobs.iter().enumerate() {
-            for group in groups(number, job, records)? {
-                let (more, more_bytes) = (group.entries(), group.bytes());
-                // One entry is the claim's condition.
-                let fits = entries + more < MAX_ENTRIES
-                    && bytes + more_bytes <= MAX_TRANSACTION_BYTES;
-                match transactions.last_mut() {
-                    Some(transaction) if fits => transaction.push(group),
-                    _ => {
-                        transactions.push(vec![group]);
-                        (entries, bytes) = (0, 0);
-                    }
-                }
-                entries += more;
-                bytes += more_bytes;
+            groups.extend(progress_groups(number, job, records)?);
+        }
+        for (number, update) in (jobs.len()..).zip(&ends) {
+            groups.push(ends_group(number, update, records)?);
+        }
+        let transactions = transactions(groups);
+        Ok(Batch {
+            jobs,
+            ends,
+            transactions,
+        })
+    }
+
+    /// Returns the outcome of the whole batch. `rejected` has the store's
+    /// reason by the index of the job.
+    fn written(
+        self,
+        revisions: Vec<(String, Revision)>,
+        mut rejected: BTreeMap<usize, String>,
+    ) -> Written {
+        let mut written = Written {
+            revisions,
+            ..Written::default()
+        };
+        let ends = (self.jobs.len()..).zip(self.ends);
+        for (number, job) in self.jobs.into_iter().enumerate() {
+            match rejected.remove(&number) {
+                Some(reason) => written.rejected.push((job.id, reason)),
+                None => written.jobs.push(job),
             }
         }
-        Ok(Batch { jobs, transactions })
+        for (number, update) in ends {
+            match rejected.remove(&number) {
+                Some(reason) => written.rejected.push((update.id, reason)),
+                None => written.ends.push((update.id, update.version)),
+            }
+        }
+        written
     }
 }
 
+/// Returns groups as transactions that the store takes.
+fn transactions(groups: Vec<Group>) -> Vec<Vec<Group>> {
+    let mut transactions: Vec<Vec<Group>> = Vec::new();
+    let (mut entries, mut bytes) = (0, 0);
+    for group in groups {
+        let (more, more_bytes) = (group.entries(), group.bytes());
+        // One entry is the claim's condition.
+        let fits = entries + more < MAX_ENTRIES
+            && bytes + more_bytes <= MAX_TRANSACTION_BYTES;
+        match transactions.last_mut() {
+            Some(transaction) if fits => transaction.push(group),
+            _ => {
+                transactions.push(vec![group]);
+                (entries, bytes) = (0, 0);
+            }
+        }
+        entries += more;
+        bytes += more_bytes;
+    }
+    transactions
+}
+
+/// Returns the group that writes the ends kept for a job.
+fn ends_group(
+    job: usize,
+    update: &EndsUpdate,
+    records: &Records,
+) -> Result<Group, serde_json::Error> {
+    let mut group = Group {
+        job,
+        ..Group::default()
+    };
+    let value = serde_json::to_vec(&update.ends)?;
+    group.put(keys::ends(&update.id), value, records);
+    Ok(group)
+}
+
 /// Returns the groups that write a job's progress, in their order.
-fn groups(
+fn progress_groups(
     job: usize,
     update: &ProgressUpdate,
     records: &Records,
@@ -198,6 +260,8 @@
 pub struct Written {
     /// The jobs that are written, each with its version.
     pub jobs: Vec<ProgressUpdate>,
+    /// The jobs whose kept ends are written, each with their version.
+    pub ends: Vec<(JobId, u64)>,
     /// The keys that were written, and their revisions.
     pub revisions: Vec<(String, Revision)>,
     /// The jobs with a record that the store does not take, and the store's
@@ -230,11 +294,11 @@
 pub async fn write(
     store: &impl Store,
     claim: &Claim,
-    batch: Batch,
+    mut batch: Batch,
 ) -> Result<Written, Lost> {
     let mut revisions = Vec::new();
     let mut rejected = BTreeMap::new();
-    for mut groups in batch.transactions {
+    for mut groups in std::mem::take(&mut batch.transactions) {
         groups.retain(|group| !rejected.contains_key(&group.job));
         match write_groups(store, claim, &groups).await? {
             Answer::Written(written) => revisions.extend(written),
@@ -258,17 +322,7 @@
             }
         }
     }
-    let mut written = Written {
-        revisions,
-        ..Written::default()
-    };
-    for (number, job) in batch.jobs.into_iter().enumerate() {
-        match rejected.remove(&number) {
-            Some(reason) => written.rejected.push((job.id, reason)),
-            None => written.jobs.push(job),
-        }
-    }
-    Ok(written)
+    Ok(batch.written(revisions, rejected))
 }
 
 /// The store's answer to a transaction.
--- a/src/graph/intake.rs
+++ b/src/graph/intake.rs
@@ -1,5 +1,6 @@
 //! Events: accepted and cancelled jobs, and reports of agents.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -205,7 +206,7 @@
         for refused in &reported.refused {
             self.apply_refused(&place, refused, now);
         }
-        let mut unknown = std::collections::BTreeSet::new();
+        let mut unknown = BTreeSet::new();
         for running in &reported.lists.running {
             if !self.apply_running(&place, running, reported.listed_at, now) {
                 unknown.insert((running.task.clone(), running.run));
@@ -213,18 +214,39 @@
         }
         self.update_pace(&agent, &reported.lists.running, now.monotonic);
         self.update_off_pace(&agent, &reported.lists.running);
-        let charge = self.charge_of(&unknown);
-        if let Some(worker) = self.workers.get_mut(&agent) {
-            if worker.unknown_runs != unknown {
-                worker.unknown_runs = unknown;
-                worker.unknown_charge = charge;
-                self.changed = true;
-                self.agents_to_order.insert(agent);
-            }
-        }
+        self.set_unknown_runs(&agent, unknown);
         true
     }
 
+    /// Records the listed runs of a worker that this planner has not ordered.
+    fn set_unknown_runs(
+        &mut self,
+        agent: &AgentId,
+        runs: BTreeSet<(Task, Run)>,
+    ) {
+        let Some(worker) = self.workers.get(agent) else {
+            return;
+        };
+        let capacity = worker.capacity;
+        let charges = runs
+            .iter()
+            .map(|(task, _)| self.unknown_charge(task, capacity));
+        let charge = charges
+            .fold(Resources::default(), |sum, charge| sum.plus(&charge));
+        let (spared, unknown): (BTreeSet<_>, BTreeSet<_>) =
+            runs.into_iter().partition(|(task, _)| self.is_spared(task));
+        let Some(worker) = self.workers.get_mut(agent) else {
+            return;
+        };
+        if worker.unknown_runs != unknown || worker.spared_runs != spared {
+            worker.unknown_runs = unknown;
+            worker.spared_runs = spared;
+            worker.unknown_charge = charge;
+            self.changed = true;
+            self.agents_to_order.insert(agent.clone());
+        }
+    }
+
     fn end_lives(
         &mut self,
         agent: &AgentId,
@@ -244,18 +266,6 @@
         }
     }
 
-    /// Returns the resources of the runs whose jobs are known.
-    fn charge_of(
-        &self,
-        runs: &std::collections::BTreeSet<(Task, Run)>,
-    ) -> Resources {
-        let charges = runs.iter().filter_map(|(task, _)| {
-            let record = self.jobs.get(&task.job)?;
-            record.job.steps.get(task.step).map(|step| step.charge())
-        });
-        charges.fold(Resources::default(), |sum, charge| sum.plus(&charge))
-    }
-
     /// Ends the members of a worker's life that is over, or may be.
     fn end_life(&mut self, place: &Place, end: MemberEnd, now: Timestamp) {
         if let Some(worker) = self.workers.get_mut(&place.agent) {
@@ -433,7 +443,7 @@
         self.changed = true;
         let task = &ended.task;
         self.apply_listed_end(place, ended, now);
-        let version = self.jobs.get(&task.job).map_or(0, |e| e.version);
+        let version = self.kept_version(&task.job);
         let unacked = UnackedEnd {
             number: ended.number,
             job: task.job.clone(),
@@ -539,6 +549,7 @@
         acked_end: 0,
         unacked_ends: Default::default(),
         unknown_runs: Default::default(),
+        spared_runs: Default::default(),
         unknown_charge: Resources::default(),
         health: Health::default(),
         filler_pace: FillerPace::new(now),
--- a/src/graph/late_end.rs
+++ b/src/graph/late_end.rs
@@ -36,6 +36,9 @@
         };
         let is_repeated = self.past_lives.get(agent) == Some(past);
         for ended in &past.ended {
+            if self.keep_end(&place, ended) {
+                continue;
+            }
             if self.apply_member_end(&place, ended, now) {
                 continue;
             }
@@ -54,6 +57,9 @@
         ended: &Ended,
         now: Timestamp,
     ) {
+        if self.keep_end(place, ended) {
+            return;
+        }
         if self.apply_member_end(place, ended, now) {
             return;
         }
--- a/src/graph/mod.rs
+++ b/src/graph/mod.rs
@@ -56,6 +56,7 @@
 mod unconfirmed;
 mod unit;
 mod unread;
+mod unreadable;
 mod urgency;
 
 pub use advice::Question;
@@ -112,6 +113,8 @@
 pub use shortage::ShortageKind;
 pub use speed::Speed;
 pub use speed::Speeds;
+pub use unreadable::EndsUpdate;
+pub use unreadable::KeptEnd;
 
 use std::time::Instant;
 use std::time::SystemTime;
--- a/src/graph/orders.rs
+++ b/src/graph/orders.rs
@@ -118,17 +118,15 @@
     fn begin_orders(&mut self, agent: &AgentId) -> Option<Orders> {
         let paces = self.pace_orders(agent);
         let speed = self.speeds.learned(agent);
+        let unacked = &self.workers.get(agent)?.unacked_ends;
+        let written = unacked
+            .iter()
+            .take_while(|end| self.is_written(&end.job, end.version))
+            .count();
         let worker = self.workers.get_mut(agent)?;
-        while let Some(end) = worker.unacked_ends.front() {
-            let written = self
-                .jobs
-                .get(&end.job)
-                .is_none_or(|record| record.written >= end.version);
-            if !written {
-                break;
-            }
+        let acked = worker.unacked_ends.drain(..written).next_back();
+        if let Some(end) = acked {
             worker.acked_end = end.number;
-            worker.unacked_ends.pop_front();
         }
         let unknown_run = |(task, run): &(Task, Run)| Stop {
             task: task.clone(),
--- a/src/graph/scheduler.rs
+++ b/src/graph/scheduler.rs
@@ -19,6 +19,7 @@
 use crate::graph::stop_time::StopTimes;
 use crate::graph::unconfirmed::UnconfirmedLoss;
 use crate::graph::unit::StopReason;
+use crate::graph::unreadable::UnreadableJob;
 use crate::graph::AgentId;
 use crate::graph::Decision;
 use crate::graph::JobId;
@@ -139,8 +140,11 @@
     pub unacked_ends: VecDeque<UnackedEnd>,
     /// Listed runs that this planner has not ordered; they are to be stopped.
     pub unknown_runs: BTreeSet<(Task, Run)>,
-    /// Resources of the unknown runs whose jobs are known. Until they are
-    /// stopped these resources are not free, and not every worker enforces its
+    /// Listed runs that this planner has not ordered either, and whose jobs it
+    /// cannot read; they go on.
+    pub spared_runs: BTreeSet<(Task, Run)>,
+    /// Resources of the unknown and the spared runs. Until they have ended
+    /// these resources are not free, and not every worker enforces its
     /// capacity.
     pub unknown_charge: Resources,
     pub health: Health,
@@ -185,6 +189,8 @@
     /// The reports of agents on earlier lives than those in `workers`.
     pub(super) past_lives: BTreeMap<AgentId, PastLife>,
     pub(super) jobs: BTreeMap<JobId, JobRecord>,
+    /// Jobs whose records cannot be read.
+    pub(super) unreadable_jobs: BTreeMap<JobId, UnreadableJob>,
     /// Jobs with units that are not done.
     pub(super) open_jobs: BTreeSet<JobId>,
     /// The accelerators that each client account is guaranteed.
@@ -237,6 +243,7 @@
             workers: BTreeMap::new(),
             past_lives: BTreeMap::new(),
             jobs: BTreeMap::new(),
+            unreadable_jobs: BTreeMap::new(),
             open_jobs: BTreeSet::new(),
             guarantees: BTreeMap::new(),
             within_guarantee: BTreeSet::new(),
@@ -294,7 +301,7 @@
 
     /// Returns whether any progress must be written.
     pub fn is_dirty(&self) -> bool {
-        !self.dirty.is_empty()
+        !self.dirty.is_empty() || self.has_unwritten_ends()
     }
 
     /// Returns whether orders may have changed since they were last taken.
@@ -362,7 +369,17 @@
             let agents = unit.members().map(|m| m.place.agent.clone());
             self.agents_to_order.extend(agents);
         }
-        for (agent, worker) in &mut self.workers {
+        self.order_acknowledgements(id, written);
+        let over = self.jobs.get(id).is_some_and(JobRecord::is_over);
+        if over && self.holds_nothing(id) {
+            self.open_jobs.remove(id);
+        }
+    }
+
+    /// Has the agents ordered that wait for the acknowledgement of ends up to a
+    /// written version.
+    pub(super) fn order_acknowledgements(&mut self, id: &str, written: u64) {
+        for (agent, worker) in &self.workers {
             let waits = worker
                 .unacked_ends
                 .iter()
@@ -371,10 +388,6 @@
                 self.agents_to_order.insert(agent.clone());
             }
         }
-        let over = self.jobs.get(id).is_some_and(JobRecord::is_over);
-        if over && self.holds_nothing(id) {
-            self.open_jobs.remove(id);
-        }
     }
 
     /// Returns whether every job is over and occupies no resources.
--- a/tests/it/unread_records.rs
+++ b/tests/it/unread_records.rs
@@ -20,14 +20,20 @@
 use landingvalve::graph::Outcome;
 use landingvalve::graph::Progress;
 use landingvalve::graph::RunOutcome;
+use landingvalve::graph::Scheduler;
 use landingvalve::graph::Step;
 use landingvalve::log;
+use landingvalve::store::Mutation;
+use landingvalve::store::Store;
+use serde_json::Value;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use crate::cell::deadline;
 use crate::cell::job;
+use crate::graph;
+use crate::graph::step;
 use crate::graph::Site;
 use crate::graph::Worker;
 use crate::memory::Event;
@@ -244,3 +250,151 @@
     }
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+/// The key of the ends that are kept for the job while it cannot be read.
+const ENDS_KEY: &str = "lv/in/a/ends";
+/// A value that no version of the program can decode.
+const GARBAGE: &[u8] = b"{\"units\": 7}";
+/// How long a planner serves a worker whose job it cannot read.
+const SERVED: Duration = Duration::from_secs(5);
+/// What can be wrong with the records of the job, as the key that is written
+/// and its value; nothing if the key is deleted.
+const DAMAGES: [(&str, Option<&[u8]>); 4] = [
+    ("lv/progress/a", Some(GARBAGE)),
+    ("lv/part/a/0.0.0", Some(GARBAGE)),
+    ("lv/in/a/job", Some(GARBAGE)),
+    ("lv/in/a/job", None),
+];
+
+/// Writes or deletes a key.
+async fn set(store: &Memory, key: &str, value: Option<Vec<u8>>) {
+    let key = key.to_owned();
+    let mutation = match value {
+        Some(value) => Mutation::Value(key, value, 0),
+        None => Mutation::Delete(key),
+    };
+    store.swap(&[], vec![mutation]).await.expect("is written");
+}
+
+/// Returns the number of ends that are kept for the job.
+fn kept(store: &Memory) -> usize {
+    let value = store.value(ENDS_KEY);
+    let ends = value.map(|v| serde_json::from_slice::<Vec<Value>>(&v));
+    ends.map_or(0, |ends| ends.expect("is readable").len())
+}
+
+/// Plays two takeovers: a planner that cannot read the job's records, and after
+/// their repair one that can. Returns what that breaks.
+async fn play_damage(key: &str, value: Option<&[u8]>) -> Option<String> {
+    let (store, mut worker) = site_without_planner().await;
+    let sound = store.value(key);
+    set(&store, key, value.map(<[u8]>::to_vec)).await;
+    let second = Process::start("second", &store);
+    let until = Instant::now() + SERVED;
+    while Instant::now() < until {
+        let Some(orders) = second.serve(&mut worker).await else {
+            continue;
+        };
+        if orders.noted > kept(&store) as u64 {
+            return Some(format!("{} ends acknowledged", orders.noted));
+        }
+        if !orders.stops.is_empty() || !orders.starts.is_empty() {
+            return Some(format!("ordered: {orders:?}"));
+        }
+    }
+    if worker.acknowledged != DONE as u64 {
+        return Some("kept ends are not acknowledged".to_owned());
+    }
+    second.planning.abort();
+    set(&store, key, sound).await;
+    let third = Process::start("third", &store);
+    let until = Instant::now() + LIMIT;
+    worker.end(RunOutcome::Done, |_| true);
+    while stored(&store).outcome.is_none() {
+        if Instant::now() >= until {
+            return Some("the job does not end".to_owned());
+        }
+        third.serve(&mut worker).await;
+    }
+    third.planning.abort();
+    let starts = worker.started_runs.len();
+    (starts != TASKS).then(|| format!("{starts} starts"))
+}
+
+/// Guards against tasks that are done and run again, or are stopped, because a
+/// record of their job could not be decoded: the planner took the job for one
+/// that was removed.
+#[test]
+fn ends_of_a_job_that_cannot_be_read_are_kept_until_it_can_be() {
+    let mut broken = Vec::new();
+    for (key, value) in DAMAGES {
+        if let Some(why) = in_virtual_time(play_damage(key, value)) {
+            let what = if value.is_some() { "damaged" } else { "gone" };
+            broken.push(format!("{key} {what}: {why}"));
+        }
+    }
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// Serves a worker without a planner until the runs of the job are stopped and
+/// all ends acknowledged.
+async fn serve_until_nothing_is_left(store: &Memory, worker: &mut Worker) {
+    let second = Process::start("second", store);
+    let until = Instant::now() + LIMIT;
+    while !worker.running.is_empty() || !worker.ended.is_empty() {
+        let left = (&worker.running, &worker.ended);
+        assert!(Instant::now() < until, "left: {left:?}");
+        second.serve(worker).await;
+    }
+    second.planning.abort();
+}
+
+/// Guards against ends that a worker keeps for good, and holds back the later
+/// ones.
+#[tokio::test(start_paused = true)]
+async fn ends_of_a_removed_job_are_acknowledged_and_its_runs_stopped() {
+    let (store, mut worker) = site_without_planner().await;
+    for key in ["lv/in/a/job", "lv/progress/a"] {
+        set(&store, key, None).await;
+    }
+    serve_until_nothing_is_left(&store, &mut worker).await;
+    assert_eq!(store.value(ENDS_KEY), None);
+}
+
+/// Guards against tasks that run on after their cancel was confirmed.
+#[tokio::test(start_paused = true)]
+async fn runs_of_a_job_that_cannot_be_read_stop_at_its_cancel() {
+    let (store, mut worker) = site_without_planner().await;
+    set(&store, "lv/progress/a", Some(GARBAGE.to_vec())).await;
+    let admission = Admission::new(store.clone(), log::none());
+    assert!(admission.cancel("a", deadline()).await.expect("answers"));
+    serve_until_nothing_is_left(&store, &mut worker).await;
+    assert_eq!(kept(&store), TASKS);
+}
+
+/// Returns how many tasks of another job begin beside those of a job whose
+/// records a planner cannot read.
+fn begun_beside_unreadable(is_job_known: bool) -> usize {
+    let mut site = Site::new(&[("w1", "r1")]);
+    let hidden = graph::job("hidden", 1, vec![step(4, 1, false)], &site);
+    site.submit(hidden.clone());
+    site.settle();
+    assert_eq!(site.running("hidden"), 4);
+    site.scheduler = Scheduler::new(Options::default(), site.now);
+    let known = is_job_known.then_some(&hidden);
+    site.scheduler
+        .add_unreadable_job("hidden".into(), known, Vec::new());
+    let other = graph::job("other", 1, vec![step(8, 1, false)], &site);
+    site.submit(other);
+    site.run_for(Duration::from_secs(5));
+    assert_eq!(site.running("hidden"), 4, "stopped");
+    site.running("other")
+}
+
+/// Guards against workers that are filled beyond their capacity beside runs
+/// that go on although nothing is known of their job.
+#[test]
+fn runs_of_a_job_that_cannot_be_read_keep_their_room() {
+    assert_eq!(begun_beside_unreadable(true), 4);
+    assert_eq!(begun_beside_unreadable(false), 0);
+}
