An agent begins only once its endpoint has listed the tasks

Callers would see a job fail whose task was at work: the agent beside it was started again and could not list the endpoint's tasks at first.

Cause: adopt_tasks took a list that had failed for an empty one (`list().await.unwrap_or_default()`), so that the ledger had no gang, and the planner took the run for one that had ended.

A task whose note cannot be decoded is told.

Evidence: the test refuses three lists.

--- a/crates/landingvalve-standin/src/endpoint.rs
+++ b/crates/landingvalve-standin/src/endpoint.rs
@@ -48,6 +48,8 @@
     started: Vec<TaskId>,
     /// Whether tasks started from now on fail.
     failing: bool,
+    /// The number of next requests for the list of tasks that are refused.
+    lists_to_refuse: u32,
 }
 
 #[derive(Default)]
@@ -84,6 +86,11 @@
         self.service.lock().failing = failing;
     }
 
+    /// Refuses the next requests for the list of tasks.
+    pub fn refuse_lists(&self, requests: u32) {
+        self.service.lock().lists_to_refuse = requests;
+    }
+
     /// Returns the names of all tasks ever started, in order of the starts.
     pub fn started_tasks(&self) -> Vec<TaskId> {
         self.service.lock().started.clone()
@@ -235,6 +242,10 @@
         let parts: Vec<&str> =
             path.split('/').filter(|part| !part.is_empty()).collect();
         match (method, &parts[..]) {
+            (Method::GET, ["tasks"]) if tasks.lists_to_refuse > 0 => {
+                tasks.lists_to_refuse -= 1;
+                http::text(StatusCode::SERVICE_UNAVAILABLE, "try again")
+            }
             (Method::GET, ["tasks"]) => {
                 tasks.update();
                 let list: Vec<Task> =
--- a/src/agent/actor.rs
+++ b/src/agent/actor.rs
@@ -18,6 +18,7 @@
 use crate::endpoint;
 use crate::endpoint::Task;
 use crate::endpoint::TaskId;
+use crate::log::excerpt;
 use crate::telemetry::metrics;
 use crate::telemetry::Span;
 use crate::wire::agent::AgentClient;
@@ -45,6 +46,8 @@
 /// The interval of polls while a task is young, so that the end of a short
 /// task is noticed soon.
 const YOUNG_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// The delay before the endpoint is asked again for its tasks.
+const LIST_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// The age below which a task is young.
 const YOUNG_AGE: Duration = Duration::from_secs(1);
 
@@ -190,13 +193,35 @@
         });
     }
 
+    /// Lists the endpoint's tasks, and retries until it answers. An agent that
+    /// began without them would take running tasks for tasks that have ended.
+    async fn list_tasks(&self) -> Vec<Task> {
+        loop {
+            match self.endpoint.list().await {
+                Ok(tasks) => return tasks,
+                Err(error) => {
+                    slog::warn!(self.log,
+                        "agent: the endpoint's tasks could not be listed";
+                        "error" => %error);
+                }
+            }
+            tokio::time::sleep(LIST_RETRY_DELAY).await;
+        }
+    }
+
     /// Adopts the tasks found at the endpoint: their notes hold their gangs.
     async fn adopt_tasks(&mut self) {
-        let tasks = self.endpoint.list().await.unwrap_or_default();
+        let tasks = self.list_tasks().await;
         let now = Instant::now();
         for task in tasks {
-            let Ok(gang) = serde_json::from_str::<Gang>(&task.note) else {
-                continue;
+            let gang = match serde_json::from_str::<Gang>(&task.note) {
+                Ok(gang) => gang,
+                Err(error) => {
+                    slog::error!(self.log,
+                        "agent: a task's note cannot be decoded";
+                        "task" => &*task.task, "error" => excerpt(error));
+                    continue;
+                }
             };
             let id = gang.id.clone();
             slog::info!(self.log, "agent: adopting task {}", task.task);
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -67,7 +67,8 @@
 }
 
 impl Agent {
-    /// Starts an agent, which adopts the tasks found at its endpoint.
+    /// Starts an agent, which adopts the tasks found at its endpoint. Waits
+    /// until the endpoint has listed them.
     ///
     /// # Errors
     ///
--- a/tests/it/promises.rs
+++ b/tests/it/promises.rs
@@ -583,6 +583,32 @@
     assert_eq!(support::start_count(&site, "a.r"), 1);
 }
 
+/// Guards against a task whose end is lost: an agent that could not list its
+/// endpoint's tasks began as if there were none, and the planner took the run
+/// for one that had never begun.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_agent_adopts_tasks_that_it_cannot_list_at_first() {
+    let mut site = support::start_site(1).await;
+    let url = site.url("e1");
+    support::submit(&url, job_request("report", "r", 3000))
+        .await
+        .unwrap();
+    let status = support::wait_for_stage(&url, "a.r", Stage::Running).await;
+    let worker = status.workers[0].to_string();
+    let places =
+        landingvalve_standin::site::Config::with_entries(1).worker_places();
+    let place = places.iter().find(|place| place[2] == worker).unwrap();
+
+    site.kill_agent(&worker);
+    site.endpoints[&worker].refuse_lists(3);
+    site.add_agent(place).await.unwrap();
+    let status = support::wait_for_stage(&url, "a.r", Stage::Ended).await;
+    let end = status.end.unwrap();
+    assert_eq!(end.outcome, Outcome::Done, "{}", end.reason);
+    assert_eq!(end.output.as_deref(), Some("r"));
+    assert_eq!(support::start_count(&site, "a.r"), 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn promise_gang_recovers_if_planner_and_worker_are_lost_together() {
     let mut site = support::start_site(3).await;
