A job whose record cannot be read is not called unknown

Callers would get 404 for a job that exists: the planner of the accounts' interface does not know an ended job, and the entry could not read its record.

Change: the read returns an error that is neither. The caller gets 503 with Retry-After while the store does not answer, and 500 for a record that cannot be decoded; each is logged. A submission goes on as before: the planner writes a record only where there is none. Records that cannot be decoded, and reads that are repeated, are logged by that planner too; they were dropped without a line.

Evidence: the test asks for a job with an odd record, and again while the store is down. Before: 404 for the former, where it stopped; now 500, then 503.

--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -24,8 +24,10 @@
 use crate::http;
 use crate::http::Handler;
 use crate::job;
+use crate::log::excerpt;
 use crate::plan::admit;
 use crate::record::Record;
+use crate::store;
 use crate::telemetry::Span;
 use crate::util::digest;
 use crate::wire::entry::Admit;
@@ -245,7 +247,9 @@
     ) -> http::Response {
         let job = record.spec.id.clone();
         let repeatable = record.spec.repeatable;
-        if let Some(existing) = self.read_record(&job).await {
+        // If the record cannot be read, the planner decides: it writes a new
+        // record only where there is none.
+        if let Ok(Some(existing)) = self.read_record(&job).await {
             match existing.request == record.request {
                 false => return responses::conflict(),
                 // The planner is not needed for a job that has ended.
@@ -325,13 +329,12 @@
                 }
                 Ok(_) => {}
                 Err(Refusal::UnknownJob) => {
-                    if let Some(existing) = self.read_record(job).await {
-                        if existing.end.is_some() {
-                            return responses::job_status(
-                                StatusCode::OK,
-                                &responses::status_from_record(&existing),
-                            );
-                        }
+                    let record = self.read_record(job).await.ok().flatten();
+                    if let Some(ended) = record.filter(|r| r.end.is_some()) {
+                        return responses::job_status(
+                            StatusCode::OK,
+                            &responses::status_from_record(&ended),
+                        );
                     }
                     if !repeatable {
                         return responses::from_refusal(
@@ -350,9 +353,23 @@
         }
     }
 
-    async fn read_record(&self, job: &str) -> Option<Record> {
-        let item = self.shared.store.get(&Record::key(job)).await.ok()??;
-        Record::parse(&item.value)
+    /// Reads a job's record; `None` if there is none.
+    async fn read_record(
+        &self,
+        job: &str,
+    ) -> Result<Option<Record>, UnreadRecord> {
+        let key = Record::key(job);
+        let item = self.shared.store.get(&key).await;
+        let record = item.map_err(UnreadRecord::from).and_then(|item| {
+            let record = item.map(|item| Record::parse(&item.value));
+            Ok(record.transpose()?)
+        });
+        if let Err(error) = &record {
+            slog::warn!(self.shared.config.log,
+                "entry: a job's record could not be read";
+                "key" => key, "error" => excerpt(error));
+        }
+        record
     }
 
     fn owns(&self, job: &str) -> bool {
@@ -378,12 +395,13 @@
             Err(Refusal::UnknownJob) => {
                 let record = self.read_record(job).await;
                 record
+                    .map_err(|error| error.response())?
                     .map(|r| responses::status_from_record(&r))
                     .ok_or_else(not_found)
             }
             Err(refusal) => match self.read_record(job).await {
-                Some(record) => Ok(responses::status_from_record(&record)),
-                None => Err(responses::from_refusal(&refusal)),
+                Ok(Some(record)) => Ok(responses::status_from_record(&record)),
+                Ok(None) | Err(_) => Err(responses::from_refusal(&refusal)),
             },
         }
     }
@@ -450,3 +468,29 @@
     let value = request.headers().get(AUTHORIZATION)?.to_str().ok()?;
     value.strip_prefix("Bearer ")
 }
+
+/// A job's record could not be read. Whether the job exists is not known.
+#[derive(Debug, thiserror::Error)]
+enum UnreadRecord {
+    /// The store did not answer.
+    #[error("{0}")]
+    Store(#[from] store::Error),
+    /// The record cannot be decoded.
+    #[error("it cannot be decoded: {0}")]
+    Malformed(#[from] serde_json::Error),
+}
+
+impl UnreadRecord {
+    /// Returns the response to a caller who asked for the job.
+    fn response(&self) -> http::Response {
+        match self {
+            UnreadRecord::Store(_) => {
+                responses::from_refusal(&Refusal::StoreUnavailable)
+            }
+            UnreadRecord::Malformed(_) => responses::failure(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "job: its record cannot be decoded",
+            ),
+        }
+    }
+}
--- a/src/planner/actor.rs
+++ b/src/planner/actor.rs
@@ -217,11 +217,13 @@
             config.claim.clone(),
             config.epoch,
             myself.clone(),
+            config.log.clone(),
         );
         let store = config.store.clone();
+        let log = config.log.clone();
         let planner = myself.clone();
         tokio::spawn(async move {
-            let records = takeover::read(&store, 0).await;
+            let records = takeover::read(&store, 0, &log).await;
             let _ = planner.cast(Message::Records(records));
         });
         myself.send_interval(TICK_INTERVAL, || Message::Tick);
--- a/src/planner/takeover.rs
+++ b/src/planner/takeover.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::job;
+use crate::log::excerpt;
 use crate::record::Record;
 use crate::site::WorkerId;
 use crate::store;
@@ -32,10 +33,16 @@
 
 /// Reads the records changed at or after `since`, and retries until the store
 /// answers.
-pub async fn read(store: &store::Client, since: Revision) -> Records {
+pub async fn read(
+    store: &store::Client,
+    since: Revision,
+    log: &slog::Logger,
+) -> Records {
     loop {
-        if let Ok(records) = try_read(store, since).await {
-            return records;
+        match try_read(store, since, log).await {
+            Ok(records) => return records,
+            Err(error) => slog::warn!(log,
+                "planner: records could not be read"; "error" => %error),
         }
         let typical = RETRY_WAIT.as_millis() as u64;
         let wait =
@@ -49,12 +56,21 @@
 /// # Errors
 ///
 /// If the store does not answer.
-pub async fn try_read(
+async fn try_read(
     store: &store::Client,
     since: Revision,
+    log: &slog::Logger,
 ) -> Result<Records, store::Error> {
     let listing = store.list(crate::record::PREFIX, since).await?;
-    let parse = |item: &store::Item| Record::parse(&item.value);
+    let parse = |item: &store::Item| match Record::parse(&item.value) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            slog::error!(log,
+                "planner: a job's record cannot be decoded";
+                "key" => &item.key, "error" => excerpt(error));
+            None
+        }
+    };
     Ok(Records {
         records: listing.items.iter().filter_map(parse).collect(),
         revision: listing.revision,
--- a/src/planner/writer.rs
+++ b/src/planner/writer.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
+use crate::log::excerpt;
 use crate::planner::actor::Message;
 use crate::record::Record;
 use crate::store;
@@ -74,6 +75,7 @@
         claim: String,
         epoch: Epoch,
         planner: ActorRef<Message>,
+        log: slog::Logger,
     ) -> Writer {
         let (sender, receiver) = mpsc::unbounded_channel();
         let writer_task = WriterTask {
@@ -83,6 +85,7 @@
             planner,
             receiver,
             pending: BTreeMap::new(),
+            log,
         };
         Writer {
             sender,
@@ -112,6 +115,7 @@
     planner: ActorRef<Message>,
     receiver: mpsc::UnboundedReceiver<Write>,
     pending: BTreeMap<String, Pending>,
+    log: slog::Logger,
 }
 
 impl WriterTask {
@@ -242,12 +246,17 @@
 
     fn report_existing(&mut self, key: &str, items: &[store::Item]) {
         self.pending.remove(key);
-        let record = items
-            .iter()
-            .find(|item| item.key == key)
-            .and_then(|item| Record::parse(&item.value));
-        if let Some(record) = record {
-            let _ = self.planner.cast(Message::RecordExists(Box::new(record)));
+        let Some(item) = items.iter().find(|item| item.key == key) else {
+            return;
+        };
+        match Record::parse(&item.value) {
+            Ok(record) => {
+                let record = Box::new(record);
+                let _ = self.planner.cast(Message::RecordExists(record));
+            }
+            Err(error) => slog::error!(self.log,
+                "planner: a job's record cannot be decoded";
+                "key" => key, "error" => excerpt(error)),
         }
     }
 
--- a/src/record.rs
+++ b/src/record.rs
@@ -96,8 +96,12 @@
         serde_json::to_vec(self).unwrap_or_default()
     }
 
-    /// Parses a record from the store. Returns `None` if it is malformed.
-    pub fn parse(bytes: &[u8]) -> Option<Record> {
-        serde_json::from_slice(bytes).ok()
+    /// Parses a record from the store.
+    ///
+    /// # Errors
+    ///
+    /// If the value is malformed.
+    pub fn parse(bytes: &[u8]) -> Result<Record, serde_json::Error> {
+        serde_json::from_slice(bytes)
     }
 }
--- a/tests/it/promises.rs
+++ b/tests/it/promises.rs
@@ -6,7 +6,11 @@
 use hyper::header::RETRY_AFTER;
 use hyper::Method;
 use hyper::StatusCode;
+use landingvalve::http;
 use landingvalve::job::Outcome;
+use landingvalve::record::Record;
+use landingvalve::store;
+use landingvalve::store::Mutation;
 use landingvalve::wire::entry::Stage;
 use landingvalve::wire::entry::Status;
 use landingvalve_standin::site::OPERATOR_TOKEN;
@@ -99,6 +103,30 @@
     }
 }
 
+/// Guards against jobs that are called unknown because the store did not
+/// answer, or holds a record that cannot be decoded.
+#[tokio::test(flavor = "multi_thread")]
+async fn job_whose_record_cannot_be_read_is_not_called_unknown() {
+    let site = support::start_site(1).await;
+    let url = site.url("e1");
+    let status = async |job: &str| {
+        let path = format!("/v1/jobs/{job}");
+        let call = support::call(&url, "a-token", Method::GET, &path, None);
+        let response = call.await.expect("answers");
+        let retry = response.headers.contains_key(RETRY_AFTER);
+        (response.status, retry)
+    };
+    assert_eq!(status("a.x").await, (StatusCode::NOT_FOUND, false));
+    let store = store::Client::new(http::Client::new(), site.store.url());
+    let odd = Mutation::Value(Record::key("a.x"), b"7".to_vec(), 0);
+    store.swap(&[], vec![odd]).await.expect("is written");
+    let odd = (StatusCode::INTERNAL_SERVER_ERROR, false);
+    assert_eq!(status("a.x").await, odd);
+    site.store.set_fault(STORE_DOWN);
+    let down = (StatusCode::SERVICE_UNAVAILABLE, true);
+    assert_eq!(status("a.x").await, down);
+}
+
 /// Guards against agents that forget a job once its end is reported, though
 /// not yet written: the next planner then concludes that the job never began.
 #[tokio::test(flavor = "multi_thread")]
