A planner starts nothing before the operators' keys are read

Change: the closed halls are an Option until the keys are read. A planner without them answers agents and runs no pass; a line tells once that it waits.

Evidence: the test serves two workers, one in a closed hall, while nobody reads the keys, then reads them.

--- a/crates/landingvalve-sim/src/day.rs
+++ b/crates/landingvalve-sim/src/day.rs
@@ -370,8 +370,9 @@
             cores: 1.0,
         };
         let following = peers.follow(store.clone(), holder.recipient());
-        let source = Source::new();
+        let mut source = Source::without_closed_halls();
         if self.sound.is_some() {
+            source = Source::new();
             tokio::spawn(source.clone().follow(
                 store.clone(),
                 sound::KEYS,
--- a/src/cell/configuration.rs
+++ b/src/cell/configuration.rs
@@ -113,8 +113,8 @@
 #[derive(Debug, Default)]
 struct State {
     current: Option<Arc<Configuration>>,
-    /// The halls that get no new work.
-    closed: BTreeSet<SharedStr>,
+    /// The halls that get no new work, once the keys have been read.
+    closed: Option<BTreeSet<SharedStr>>,
     revision: Revision,
     /// The last revision read, whether or not it could be decoded.
     latest_revision: Revision,
@@ -155,13 +155,22 @@
         Source::default()
     }
 
+    /// Returns a source of a site on which no hall is closed, for uses in which
+    /// nobody follows the operators' keys.
+    pub fn without_closed_halls() -> Source {
+        let source = Source::new();
+        source.lock().closed = Some(BTreeSet::new());
+        source
+    }
+
     /// Returns the configuration, once one has been read.
     pub fn current(&self) -> Option<Arc<Configuration>> {
         self.lock().current.clone()
     }
 
-    /// Returns the halls that get no new work.
-    pub fn closed(&self) -> BTreeSet<SharedStr> {
+    /// Returns the halls that get no new work, once the operators' keys have
+    /// been read. Until then any hall may be closed.
+    pub fn closed(&self) -> Option<BTreeSet<SharedStr>> {
         self.lock().closed.clone()
     }
 
@@ -323,9 +332,10 @@
     /// Updates the set of closed halls.
     fn update_closed(&self, batch: &Batch, keys: &Keys, log: &slog::Logger) {
         let mut state = self.lock();
+        let before = state.closed.clone();
         let mut closed = match batch.is_listing {
             true => BTreeSet::new(),
-            false => state.closed.clone(),
+            false => before.clone().unwrap_or_default(),
         };
         for change in &batch.changes {
             let (key, puts) = match change {
@@ -338,9 +348,10 @@
                 None => false,
             };
         }
-        if closed != state.closed {
+        let closed = Some(closed);
+        if closed != before {
             slog::info!(log, "configuration: the closed halls have changed";
-                "halls" => ?closed, "before" => ?state.closed);
+                "halls" => ?closed, "before" => ?before);
             state.closed = closed;
         }
     }
--- a/src/cell/planner/mod.rs
+++ b/src/cell/planner/mod.rs
@@ -162,6 +162,8 @@
     /// Agents whose orders have changed while no report of theirs was waiting.
     due: BTreeSet<AgentId>,
     guarantees: BTreeMap<SharedStr, i64>,
+    /// Whether a pass found that the operators' keys were not read yet.
+    halls_unread: bool,
     claim_lost: watch::Sender<bool>,
     decision_log: Recorder,
     log: slog::Logger,
@@ -253,6 +255,7 @@
             deliveries: Deliveries::default(),
             due: BTreeSet::new(),
             guarantees: BTreeMap::new(),
+            halls_unread: false,
             claim_lost: arguments.claim_lost,
             decision_log: Recorder::new(arguments.log.clone()),
             log: arguments.log,
@@ -573,13 +576,17 @@
             return;
         }
         self.tick_due = false;
+        let Some(closed) = self.source.closed() else {
+            self.note_unread_halls();
+            return;
+        };
         if let Some(configuration) = self.source.current() {
             if configuration.guarantees != self.guarantees {
                 self.guarantees = configuration.guarantees.clone();
                 self.scheduler.set_guarantees(self.guarantees.clone());
             }
         }
-        self.scheduler.set_closed_halls(self.source.closed());
+        self.scheduler.set_closed_halls(closed);
         self.scheduler.run_pass(Timestamp::now());
         let token = self.claim.token;
         for decision in self.scheduler.take_decisions() {
@@ -594,6 +601,15 @@
             began + (took * PASS_INTERVAL_FACTOR).min(MAX_PASS_INTERVAL);
     }
 
+    /// Notes that a pass could not be run, as the closed halls are unknown.
+    fn note_unread_halls(&mut self) {
+        if !std::mem::replace(&mut self.halls_unread, true) {
+            slog::info!(self.log,
+                "planner: waits for the operators' keys";
+                "token" => self.claim.token);
+        }
+    }
+
     /// Answers the waiting reports of `agents`.
     fn answer_waiting(&mut self, agents: &[AgentId]) {
         if agents.is_empty() {
--- a/tests/it/cell.rs
+++ b/tests/it/cell.rs
@@ -655,7 +655,7 @@
                 cores,
             },
             host,
-            source: Source::new(),
+            source: Source::without_closed_halls(),
             advice: None,
             options,
             log,
--- a/tests/it/closed.rs
+++ b/tests/it/closed.rs
@@ -117,8 +117,9 @@
         let expected = halls(names);
         let source = source.clone();
         async move {
-            let is_seen =
-                || async { (source.closed() == expected).then_some(()) };
+            let is_seen = || async {
+                (source.closed() == Some(expected.clone())).then_some(())
+            };
             until("the expected halls are closed", is_seen).await;
         }
     };
--- a/tests/it/unread_records.rs
+++ b/tests/it/unread_records.rs
@@ -7,8 +7,10 @@
 
 use landingvalve::cell::claim;
 use landingvalve::cell::claim::Holder;
+use landingvalve::cell::configuration::Configuration;
 use landingvalve::cell::configuration::Source;
 use landingvalve::cell::keys;
+use landingvalve::cell::reachability::Reachability;
 use landingvalve::cell::rpc::Answer;
 use landingvalve::cell::rpc::CellServer;
 use landingvalve::cell::session::Host;
@@ -32,6 +34,8 @@
 
 use crate::cell::deadline;
 use crate::cell::job;
+use crate::cell::CONFIGURATION_BOUND;
+use crate::cell::CONFIGURATION_KEYS;
 use crate::graph;
 use crate::graph::step;
 use crate::graph::Site;
@@ -63,6 +67,11 @@
 
 impl Process {
     fn start(name: &str, store: &Memory) -> Process {
+        let source = Source::without_closed_halls();
+        Process::with_source(name, store, source)
+    }
+
+    fn with_source(name: &str, store: &Memory, source: Source) -> Process {
         let host = Host::new(name, log::none());
         let session = Session {
             store: store.clone(),
@@ -73,7 +82,7 @@
                 cores: 1.0,
             },
             host: host.clone(),
-            source: Source::new(),
+            source,
             advice: None,
             options: Options::default(),
             log: log::none(),
@@ -398,3 +407,45 @@
     assert_eq!(begun_beside_unreadable(true), 4);
     assert_eq!(begun_beside_unreadable(false), 0);
 }
+
+/// Guards against tasks that begin in a hall that has been closed for long. A
+/// planner that had claimed before its process had read the operators' keys
+/// took the halls for open.
+#[tokio::test(start_paused = true)]
+async fn a_planner_starts_nothing_before_the_operators_keys_are_read() {
+    let store = Memory::default();
+    let [mut closed, mut open] = [("w1", "r1"), ("w2", "r1")]
+        .map(|worker| Site::new(&[worker]).workers.remove(0));
+    closed.hall = "closed".into();
+    set(&store, "key/closed/closed", Some(Vec::new())).await;
+    let admission = Admission::new(store.clone(), log::none());
+    admission.submit(&wide_job(), deadline()).await;
+    let source = Source::new();
+    let process = Process::with_source("entry", &store, source.clone());
+    let until = Instant::now() + SERVED;
+    while Instant::now() < until {
+        process.serve(&mut closed).await;
+        process.serve(&mut open).await;
+    }
+    let started = closed.started_runs.len() + open.started_runs.len();
+    assert_eq!(started, 0, "before the keys are read");
+    let decode = |_: &[u8]| Ok::<_, String>(Configuration::default());
+    let follow = source.follow(
+        store.clone(),
+        CONFIGURATION_KEYS,
+        CONFIGURATION_BOUND,
+        decode,
+        Reachability::new(),
+        log::none(),
+    );
+    let follow = tokio::spawn(follow);
+    let until = Instant::now() + LIMIT;
+    while open.running.len() < TASKS {
+        assert!(Instant::now() < until, "the tasks do not start");
+        process.serve(&mut closed).await;
+        process.serve(&mut open).await;
+    }
+    assert_eq!(closed.started_runs.len(), 0);
+    follow.abort();
+    process.planning.abort();
+}
