Those who wait for the store or a planner wake in their order

Cause: a watch channel wakes its receivers by slots that it draws.

Change: Reachability and Host tell with a notification, which wakes in order, as the relay's path does already; a waiter keeps its place while it probes.

--- a/src/cell/reachability.rs
+++ b/src/cell/reachability.rs
@@ -1,10 +1,12 @@
 //! Whether the store is reachable, as the calls of this process have shown.
 
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::watch;
 use tokio::sync::Mutex;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::cell::keys;
@@ -25,7 +27,11 @@
 /// wait.
 #[derive(Clone, Debug)]
 pub struct Reachability {
-    reached: watch::Sender<bool>,
+    reached: Arc<AtomicBool>,
+    /// Notified when the store is reached again. A notification wakes its
+    /// waiters in order: callers who came first are served first, and
+    /// simulations repeat.
+    regained: Arc<Notify>,
     /// The earliest time of the next probe; locked by the task that probes.
     next_probe: Arc<Mutex<Instant>>,
 }
@@ -40,44 +46,45 @@
     /// Returns a state that counts as reachable until a call fails.
     pub fn new() -> Reachability {
         Reachability {
-            reached: watch::Sender::new(true),
+            reached: Arc::new(AtomicBool::new(true)),
+            regained: Arc::default(),
             next_probe: Arc::new(Mutex::new(Instant::now())),
         }
     }
 
     /// Records whether a call was answered.
     pub fn set(&self, reached: bool) {
-        self.reached.send_if_modified(|current| {
-            let changed = *current != reached;
-            *current = reached;
-            changed
-        });
+        let before = self.reached.swap(reached, Ordering::Relaxed);
+        if reached && !before {
+            self.regained.notify_waiters();
+        }
+    }
+
+    fn is_reached(&self) -> bool {
+        self.reached.load(Ordering::Relaxed)
     }
 
     /// Waits until the store is reachable. Returns `false` if `until` passes
     /// first.
     pub async fn wait(&self, store: &impl Store, until: Instant) -> bool {
-        let mut reached = self.reached.subscribe();
-        loop {
-            if Instant::now() >= until {
-                return false;
-            }
-            if *reached.borrow_and_update() {
-                return true;
-            }
-            let change_or_probe = async {
-                tokio::select! {
-                    biased;
-                    // The channel cannot close: this value holds its sender.
-                    _ = reached.changed() => {}
-                    () = self.probe(store) => {}
+        let wait = self.wait_or_probe(store);
+        Instant::now() < until
+            && tokio::time::timeout_at(until, wait).await.is_ok()
+    }
+
+    /// Waits until the store is reachable, and probes it meanwhile.
+    async fn wait_or_probe(&self, store: &impl Store) {
+        let mut regained = std::pin::pin!(self.regained.notified());
+        // A waiter keeps its place however often it probes.
+        regained.as_mut().enable();
+        while !self.is_reached() {
+            tokio::select! {
+                biased;
+                () = &mut regained => {
+                    regained.set(self.regained.notified());
+                    regained.as_mut().enable();
                 }
-            };
-            if tokio::time::timeout_at(until, change_or_probe)
-                .await
-                .is_err()
-            {
-                return false;
+                () = self.probe(store) => {}
             }
         }
     }
@@ -87,7 +94,7 @@
     async fn probe(&self, store: &impl Store) {
         let mut due = self.next_probe.lock().await;
         tokio::time::sleep_until(*due).await;
-        if *self.reached.borrow() {
+        if self.is_reached() {
             return;
         }
         *due = Instant::now()
--- a/src/cell/session.rs
+++ b/src/cell/session.rs
@@ -1,6 +1,9 @@
 //! Claims, and hosts the planner for as long as the claim holds.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use jsonrpsee::core::async_trait;
@@ -9,6 +12,7 @@
 use ractor::Actor;
 use ractor::ActorRef;
 use tokio::sync::watch;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::cell::advice;
@@ -73,7 +77,10 @@
     life: String,
     misdirected: Arc<Throttle>,
     log: slog::Logger,
-    current: watch::Sender<Option<ActorRef<Message>>>,
+    current: Arc<Mutex<Option<ActorRef<Message>>>>,
+    /// Notified when a planner is hosted. A notification wakes its waiters in
+    /// order, so that simulations repeat.
+    hosted: Arc<Notify>,
     /// Makes store calls for other processes, if set.
     proxy: Option<Arc<dyn Proxy>>,
 }
@@ -85,7 +92,8 @@
             life: life.to_owned(),
             misdirected: Arc::default(),
             log,
-            current: watch::Sender::new(None),
+            current: Arc::default(),
+            hosted: Arc::default(),
             proxy: None,
         }
     }
@@ -100,7 +108,15 @@
     }
 
     fn set(&self, planner: Option<ActorRef<Message>>) {
-        self.current.send_replace(planner);
+        let is_hosted = planner.is_some();
+        *self.lock() = planner;
+        if is_hosted {
+            self.hosted.notify_waiters();
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<ActorRef<Message>>> {
+        self.current.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns whether a call is meant for this process.
@@ -115,12 +131,14 @@
     }
 
     async fn wait_for_planner(&self) -> Option<ActorRef<Message>> {
-        let mut current = self.current.subscribe();
-        let hosted = current.wait_for(Option::is_some);
+        let mut hosted = std::pin::pin!(self.hosted.notified());
+        hosted.as_mut().enable();
+        if let Some(planner) = self.lock().clone() {
+            return Some(planner);
+        }
         // The outcome does not matter: the current value is used either way.
         let _ = tokio::time::timeout(STARTUP_WAIT, hosted).await;
-        let planner = current.borrow();
-        planner.clone()
+        self.lock().clone()
     }
 }
 
