Simulation: faults bound to events, each order of call and fault

Change: `--orders` plays a small site once for each fault (9 kinds, lengths just under and over each limit of the code) that begins with the Nth call of the store of the first or next planner's process, after its claim, its reading of the records or its first write. `--order ID` plays one again. A table and a CSV tell what was met. Faults are seen where the simulated store is called; the product has no hook.

--- a/crates/landingvalve-sim/src/day/load.rs
+++ b/crates/landingvalve-sim/src/day/load.rs
@@ -13,6 +13,7 @@
 use crate::caller::Cancels;
 use crate::day::site::new_agent;
 use crate::day::Day;
+use crate::day::Kind;
 use crate::day::SETTLE_TIMEOUT;
 use crate::sound::Hopeless;
 
@@ -46,8 +47,10 @@
     }
 
     pub(super) fn submit_job(&mut self, at: usize) {
-        if self.sound.is_some() {
-            return self.submit_sound_job(at);
+        match self.scenario.kind {
+            Kind::Sound => return self.submit_sound_job(at),
+            Kind::Ordered => return self.submit_ordered_job(at),
+            Kind::Faulty => {}
         }
         let steps = self.random.usize(1..=2);
         let steps = (0..steps).map(|step| self.draw_step(step)).collect();
@@ -146,7 +149,7 @@
 }
 
 /// Returns a job that is accepted now.
-fn new_job(
+pub(super) fn new_job(
     at: usize,
     account: SharedStr,
     priority: u32,
--- a/crates/landingvalve-sim/src/day/mod.rs
+++ b/crates/landingvalve-sim/src/day/mod.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 mod load;
+mod ordered;
 mod site;
 
 use std::collections::BTreeMap;
@@ -23,11 +24,14 @@
 use crate::gang::AloneCounts;
 use crate::invariants::Checker;
 use crate::network::Network;
+use crate::orders::Order;
 use crate::sound::Draws;
 use crate::store::Server;
 
 /// Interval at which the workers and the day's schedule advance.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for which a worker's leases are extended at a time.
+pub const WORKER_LEASE: Duration = Duration::from_secs(6);
 /// Interval at which a worker sends heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after the last fault within which all accepted jobs must have ended.
@@ -52,6 +56,8 @@
     /// No fault; jobs are cancelled or hopeless, workers join and the
     /// configuration changes.
     Sound,
+    /// One fault that begins with an event, and a planner that is killed.
+    Ordered,
 }
 
 /// Parameters of a simulated day.
@@ -129,6 +135,32 @@
 ///
 /// If the runtime cannot be built.
 pub fn simulate(scenario: Scenario) -> Report {
+    in_virtual_time(scenario, async |mut day| {
+        day.run().await;
+        day.report()
+    })
+}
+
+/// Simulates a small site on which a fault begins with an event. Returns
+/// whether there was the event.
+///
+/// # Panics
+///
+/// If the runtime cannot be built.
+pub fn simulate_order(order: Order) -> (Report, bool) {
+    in_virtual_time(ordered::scenario(), async |mut day| {
+        day.set_order(order);
+        day.run().await;
+        let is_met = day.store.is_event_met();
+        (day.report(), is_met)
+    })
+}
+
+/// Plays a day on a runtime of its own.
+fn in_virtual_time<T>(
+    scenario: Scenario,
+    play: impl AsyncFnOnce(Day) -> T,
+) -> T {
     fastrand::seed(scenario.seed);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
@@ -139,9 +171,7 @@
         clock::simulate_wall_time(
             SystemTime::UNIX_EPOCH + Duration::from_secs(1 << 30),
         );
-        let mut day = Day::new(scenario);
-        day.run().await;
-        day.report()
+        play(Day::new(scenario)).await
     })
 }
 
@@ -169,6 +199,8 @@
     /// Actions that end the active faults, with the time of each.
     pending_undos: Vec<(Instant, Undo)>,
     callers: Vec<JoinHandle<()>>,
+    /// When the planner is killed on a day with an order.
+    planner_dies_at: Option<Instant>,
     start: Instant,
 }
 
@@ -197,6 +229,7 @@
             faults: BTreeMap::new(),
             pending_undos: Vec::new(),
             callers: Vec::new(),
+            planner_dies_at: None,
             start: Instant::now(),
         }
     }
@@ -227,8 +260,12 @@
             self.start_agent(at);
         }
         let faults_end = self.start + self.scenario.fault_duration;
-        let submit_interval =
-            self.scenario.fault_duration / (self.scenario.jobs as u32 + 1);
+        let submit_interval = match self.scenario.kind {
+            Kind::Ordered => ordered::SUBMIT_INTERVAL,
+            Kind::Faulty | Kind::Sound => {
+                self.scenario.fault_duration / (self.scenario.jobs as u32 + 1)
+            }
+        };
         let mut next_job = self.start + Duration::from_secs(3);
         let mut next_fault = self.start + Duration::from_secs(4);
         let mut next_goodbye = next_fault;
@@ -251,6 +288,7 @@
                 submitted += 1;
             }
             self.play_sound_day(now, faults_end);
+            self.play_ordered_day(now);
             let is_faulty = self.scenario.kind == Kind::Faulty;
             if is_faulty && now >= next_fault && now < faults_end {
                 let wait =
--- a/crates/landingvalve-sim/src/day/site.rs
+++ b/crates/landingvalve-sim/src/day/site.rs
@@ -29,6 +29,7 @@
 use crate::day::Scenario;
 use crate::day::FAILURES_SEED;
 use crate::day::TICK_INTERVAL;
+use crate::day::WORKER_LEASE;
 use crate::invariants::Checker;
 use crate::lock;
 use crate::network::ProcessId;
@@ -120,7 +121,7 @@
         let config = Config {
             agent: format!("agent-{at}").into(),
             survival: Options::default().survival,
-            lease: Duration::from_secs(6),
+            lease: WORKER_LEASE,
             connector: self.network.connector(process),
             log: log::none(),
         };
--- a/crates/landingvalve-sim/src/lib.rs
+++ b/crates/landingvalve-sim/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod gang;
 pub mod invariants;
 pub mod network;
+pub mod orders;
 pub mod sound;
 pub mod store;
 pub mod worker;
--- a/crates/landingvalve-sim/src/network.rs
+++ b/crates/landingvalve-sim/src/network.rs
@@ -57,6 +57,8 @@
 struct Data {
     /// Set if the times of messages are drawn.
     timing: Option<Timing>,
+    /// Records the faults that begin with an event.
+    faults: Option<Checker>,
     last_process: ProcessId,
     alive: BTreeMap<ProcessId, MachineId>,
     /// Hosts that can be called, by the address of their process.
@@ -161,6 +163,32 @@
         };
     }
 
+    /// Records the faults that begin with an event from now on.
+    pub fn record_faults(&self, checker: Checker) {
+        lock(&self.0).faults = Some(checker);
+    }
+
+    /// Records that a fault has begun with an event.
+    pub fn record_fault(&self, fault: &str) {
+        if let Some(checker) = &lock(&self.0).faults {
+            checker.record(format!("fault: {fault}"));
+            checker.begin_fault();
+        }
+    }
+
+    /// Records that a fault is over.
+    pub fn end_recorded_fault(&self, fault: &str) {
+        if let Some(checker) = &lock(&self.0).faults {
+            checker.record(format!("over: {fault}"));
+            checker.end_fault();
+        }
+    }
+
+    /// Returns the machine of a process that is alive.
+    pub fn machine(&self, process: ProcessId) -> Option<MachineId> {
+        lock(&self.0).alive.get(&process).copied()
+    }
+
     /// Returns whether a process has been started and not killed.
     pub fn is_alive(&self, process: ProcessId) -> bool {
         lock(&self.0).alive.contains_key(&process)
--- a/crates/landingvalve-sim/src/store.rs
+++ b/crates/landingvalve-sim/src/store.rs
@@ -5,6 +5,8 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use landingvalve::cell::claim::Holder;
+use landingvalve::cell::keys;
 use landingvalve::http;
 use landingvalve::store::Change;
 use landingvalve::store::Changes;
@@ -20,16 +22,26 @@
 use tokio::time::Instant;
 
 use crate::lock;
+use crate::network::MachineId;
 use crate::network::Network;
 use crate::network::ProcessId;
+use crate::orders::Fault;
+use crate::orders::Milestone;
+use crate::orders::Trigger;
+use crate::orders::LATE;
 
 /// Time that the store takes to answer a call.
 const RESPONSE_TIME: Duration = Duration::from_millis(4);
 /// Time after which a client's call to an unresponsive store fails.
-const CLIENT_TIMEOUT: Duration = Duration::from_millis(1000);
+pub const CLIENT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Interval at which a waiting call checks for changes.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// When a call that has not reached the store is sent again, on days with
+/// faults bound to events, counted from the call.
+const RESENDS: [Duration; 2] =
+    [Duration::from_millis(200), Duration::from_millis(600)];
+
 /// Active faults of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Faults {
@@ -61,6 +73,21 @@
     log: Vec<Change>,
     /// Revision up to which the history of changes is discarded.
     compacted_revision: Revision,
+    /// The event with which a fault begins, on days with such an event.
+    trigger: Option<Trigger>,
+}
+
+/// What becomes of a call that has reached the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    /// It is carried out and answered.
+    Answered,
+    /// It is carried out, and the answer is lost.
+    Unanswered,
+    /// It is carried out later, and not answered.
+    Late,
+    /// It is carried out, and its process is killed.
+    Last,
 }
 
 /// The store itself, shared by the clients of all processes.
@@ -88,6 +115,41 @@
         }
     }
 
+    /// Sets the event with which a fault begins.
+    pub fn set_trigger(&self, trigger: Trigger) {
+        lock(&self.0).trigger = Some(trigger);
+    }
+
+    /// Returns whether the event was met with which a fault begins.
+    pub fn is_event_met(&self) -> bool {
+        lock(&self.0)
+            .trigger
+            .is_some_and(|trigger| trigger.is_met())
+    }
+
+    /// Returns the holder of the planner's claim.
+    pub fn claim_holder(&self) -> Option<Holder> {
+        let data = lock(&self.0);
+        let (item, _) = data.items.get(keys::CLAIM)?;
+        serde_json::from_slice(&item.value).ok()
+    }
+
+    /// Takes the store down for a time. Leases wait for as long, or run out.
+    fn take_down(&self, time: Duration, leases_wait: bool) {
+        let mut data = lock(&self.0);
+        data.faults.down = true;
+        let wait = if leases_wait { time } else { Duration::ZERO };
+        for (end, _) in data.leases.values_mut() {
+            *end += wait;
+        }
+    }
+
+    fn note_milestone(&self, process: ProcessId, reached: Milestone) {
+        if let Some(trigger) = &mut lock(&self.0).trigger {
+            trigger.on_milestone(process, reached);
+        }
+    }
+
     /// Returns a client for a process.
     pub fn client(&self, network: &Network, process: ProcessId) -> Client {
         Client {
@@ -206,6 +268,17 @@
     }
 }
 
+/// Returns what a planner has reached with a write.
+fn milestone(mutations: &[Mutation]) -> Option<Milestone> {
+    let mut keys = mutations.iter().map(Mutation::key);
+    match keys.clone().any(|key| key == keys::CLAIM) {
+        true => Some(Milestone::Claim),
+        false => keys
+            .any(|key| key.starts_with(keys::PROGRESS_PREFIX))
+            .then_some(Milestone::Write),
+    }
+}
+
 fn connection_error(reason: &str) -> http::Error {
     http::Error::Lost {
         url: "store".to_owned(),
@@ -227,13 +300,20 @@
     /// # Errors
     ///
     /// If the store does not answer or refuses the call.
-    async fn reach_server(&self) -> Result<(), Error> {
+    async fn reach_server(&self) -> Result<Fate, Error> {
         self.network.block_if_dead(self.process).await;
+        let sent = Instant::now();
+        let fault = self.meet_event();
         let faults = lock(&self.server.0).faults;
         tokio::time::sleep(RESPONSE_TIME + faults.delay).await;
         self.network.block_if_dead(self.process).await;
+        self.resend(sent).await;
         let faults = lock(&self.server.0).faults;
         match faults {
+            _ if fault == Some(Fault::NotDone) => {
+                tokio::time::sleep(CLIENT_TIMEOUT).await;
+                Err(Error::Lost(connection_error("no answer")))
+            }
             _ if !self.network.reaches_store(self.process) => {
                 tokio::time::sleep(CLIENT_TIMEOUT).await;
                 Err(Error::Unreached(connection_error("unreachable")))
@@ -247,7 +327,79 @@
             }
             _ => {
                 lock(&self.server.0).expire_leases();
-                Ok(())
+                Ok(match fault {
+                    Some(Fault::AnswerLost) => Fate::Unanswered,
+                    Some(Fault::Late) => Fate::Late,
+                    Some(Fault::KillAfter) => Fate::Last,
+                    _ => Fate::Answered,
+                })
+            }
+        }
+    }
+
+    /// Begins the fault that is bound to this call, if one is.
+    fn meet_event(&self) -> Option<Fault> {
+        let fault = {
+            let mut data = lock(&self.server.0);
+            data.trigger.as_mut()?.on_call(self.process)?
+        };
+        let machine = self.network.machine(self.process)?;
+        self.network.record_fault(&fault.to_string());
+        if fault == Fault::KillBefore {
+            self.network.kill(self.process);
+        }
+        if let Some(time) = fault.length() {
+            self.begin_lasting(fault, machine, time);
+        }
+        Some(fault)
+    }
+
+    /// Begins a fault that lasts for a time.
+    fn begin_lasting(&self, fault: Fault, machine: MachineId, time: Duration) {
+        let (server, network) = (self.server.clone(), self.network.clone());
+        match fault {
+            Fault::StoreCut(_) => network.set_store_cut(machine, true),
+            Fault::PeersCut(_) => network.set_isolated(machine, true),
+            Fault::DownLeasesWait(_) => server.take_down(time, true),
+            _ => server.take_down(time, false),
+        }
+        tokio::spawn(async move {
+            tokio::time::sleep(time).await;
+            match fault {
+                Fault::StoreCut(_) => network.set_store_cut(machine, false),
+                Fault::PeersCut(_) => network.set_isolated(machine, false),
+                _ => server.set_faults(Faults::default()),
+            }
+            network.end_recorded_fault(&fault.to_string());
+        });
+    }
+
+    /// Sends a call again that has not reached the store.
+    async fn resend(&self, sent: Instant) {
+        for resend in RESENDS {
+            let is_lost = {
+                let data = lock(&self.server.0);
+                let is_cut = !self.network.reaches_store(self.process);
+                data.trigger.is_some() && (data.faults.down || is_cut)
+            };
+            if !is_lost {
+                return;
+            }
+            tokio::time::sleep_until(sent + resend).await;
+        }
+    }
+
+    /// Passes on what the store has answered, if the answer arrives.
+    async fn answer<T>(&self, fate: Fate, answer: T) -> Result<T, Error> {
+        match fate {
+            Fate::Answered => Ok(answer),
+            Fate::Last => {
+                self.network.kill(self.process);
+                std::future::pending().await
+            }
+            Fate::Unanswered | Fate::Late => {
+                tokio::time::sleep(CLIENT_TIMEOUT).await;
+                Err(Error::Lost(connection_error("no answer")))
             }
         }
     }
@@ -255,20 +407,30 @@
 
 impl Store for Client {
     async fn get(&self, key: &str) -> Result<Option<Item>, Error> {
-        self.reach_server().await?;
-        let data = lock(&self.server.0);
-        Ok(data.items.get(key).map(|(item, _)| item.clone()))
+        let fate = self.reach_server().await?;
+        let item = {
+            let data = lock(&self.server.0);
+            data.items.get(key).map(|(item, _)| item.clone())
+        };
+        self.answer(fate, item).await
     }
 
     async fn list(&self, prefix: &str) -> Result<Listing, Error> {
-        self.reach_server().await?;
-        let data = lock(&self.server.0);
-        let items = data.items.values().map(|(item, _)| item);
-        let matching = items.filter(|item| item.key.starts_with(prefix));
-        Ok(Listing {
-            revision: data.revision,
-            items: matching.cloned().collect(),
-        })
+        let fate = self.reach_server().await?;
+        let listing = {
+            let data = lock(&self.server.0);
+            let items = data.items.values().map(|(item, _)| item);
+            let matching = items.filter(|item| item.key.starts_with(prefix));
+            Listing {
+                revision: data.revision,
+                items: matching.cloned().collect(),
+            }
+        };
+        if prefix == keys::INTAKE_PREFIX {
+            let server = &self.server;
+            server.note_milestone(self.process, Milestone::Records);
+        }
+        self.answer(fate, listing).await
     }
 
     async fn swap(
@@ -276,7 +438,17 @@
         conditions: &[Compare],
         mutations: Vec<Mutation>,
     ) -> Result<Swap, Error> {
-        self.reach_server().await?;
+        let fate = self.reach_server().await?;
+        if fate == Fate::Late {
+            let (server, conditions) =
+                (self.server.clone(), conditions.to_vec());
+            tokio::spawn(async move {
+                tokio::time::sleep(LATE).await;
+                // The caller never learns the result.
+                let _ = server.write(&conditions, mutations);
+            });
+            return self.answer(fate, Swap::Refused(Vec::new())).await;
+        }
         let (lost, delay_ms) = {
             let mut data = lock(&self.server.0);
             let share = data.faults.lost_share;
@@ -287,7 +459,12 @@
             (lost, delay_ms)
         };
         if !lost {
-            return self.server.write(conditions, mutations);
+            let milestone = milestone(&mutations);
+            let swap = self.server.write(conditions, mutations)?;
+            if let (Swap::Written(_), Some(milestone)) = (&swap, milestone) {
+                self.server.note_milestone(self.process, milestone);
+            }
+            return self.answer(fate, swap).await;
         }
         let server = self.server.clone();
         let conditions = conditions.to_vec();
@@ -302,26 +479,31 @@
     }
 
     async fn grant(&self, ttl: Duration) -> Result<LeaseId, Error> {
-        self.reach_server().await?;
-        let mut data = lock(&self.server.0);
-        data.revision += 1;
-        let lease = data.revision;
-        data.leases.insert(lease, (Instant::now() + ttl, ttl));
-        Ok(lease)
+        let fate = self.reach_server().await?;
+        let lease = {
+            let mut data = lock(&self.server.0);
+            data.revision += 1;
+            let lease = data.revision;
+            data.leases.insert(lease, (Instant::now() + ttl, ttl));
+            lease
+        };
+        self.answer(fate, lease).await
     }
 
     async fn keep_alive(&self, lease: LeaseId) -> Result<bool, Error> {
-        self.reach_server().await?;
-        let mut data = lock(&self.server.0);
-        let renewed = data.leases.get_mut(&lease);
-        let renewed = renewed.map(|(end, ttl)| *end = Instant::now() + *ttl);
-        Ok(renewed.is_some())
+        let fate = self.reach_server().await?;
+        let renewed = {
+            let mut data = lock(&self.server.0);
+            let renewed = data.leases.get_mut(&lease);
+            renewed.map(|(end, ttl)| *end = Instant::now() + *ttl)
+        };
+        self.answer(fate, renewed.is_some()).await
     }
 
     async fn revoke(&self, lease: LeaseId) -> Result<(), Error> {
-        self.reach_server().await?;
+        let fate = self.reach_server().await?;
         lock(&self.server.0).end_lease(lease);
-        Ok(())
+        self.answer(fate, ()).await
     }
 
     async fn changes(
@@ -330,7 +512,10 @@
         after: Revision,
         wait: Duration,
     ) -> Result<Changes, Error> {
-        self.reach_server().await?;
+        let fate = self.reach_server().await?;
+        if fate != Fate::Answered {
+            return self.answer(fate, Changes::default()).await;
+        }
         let deadline = Instant::now() + wait;
         loop {
             {
