Ends that a planner has read and could not write are handed on

Cause: an end that a planner has read is known to it alone until the store takes the write. It lost its claim in an outage of the store, and forgot it; the agent had left before it would have saved the end, while the store was away. Each next planner waited 12.8 s for the leases of an agent that it had never heard.

Change: a planner that ends hands its unwritten ends to its process, which adds them to lv/in/ID/ends once the store answers, conditioned on the job and on what is kept there. The next planner watches these keys and applies the ends as late ones, which is the same however often it is done.

--- a/src/cell/keys.rs
+++ b/src/cell/keys.rs
@@ -6,7 +6,7 @@
 //! | `lv/strongest` | entries | the strongest process so far claims |
 //! | `lv/in/ID/job` | entries | a job is accepted |
 //! | `lv/in/ID/cancel` | entries | a job is cancelled; under a lease if there is no such job |
-//! | `lv/in/ID/ends` | planner | runs end of a job that it cannot read |
+//! | `lv/in/ID/ends` | planner, or its process after it has ended | ends were read that the job's progress cannot hold |
 //! | `lv/queue/QUEUE/ID` | entries, planner | while an accepted job waits |
 //! | `lv/progress/ID` | planner | a run is ordered, or has ended |
 //! | `lv/part/ID/PART` | planner | the same, for units that are stored in parts |
--- a/src/cell/planner/mod.rs
+++ b/src/cell/planner/mod.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod delivery;
+mod handover;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -192,6 +193,19 @@
         Ok(State::new(arguments))
     }
 
+    async fn post_stop(
+        &self,
+        _: ActorRef<Message>,
+        state: &mut State<S>,
+    ) -> Result<(), ActorProcessingErr> {
+        let ends = state.scheduler.unwritten_ends();
+        if !ends.is_empty() {
+            let (store, log) = (state.store.clone(), state.log.clone());
+            tokio::spawn(handover::keep(store, ends, log));
+        }
+        Ok(())
+    }
+
     async fn handle(
         &self,
         myself: ActorRef<Message>,
@@ -405,9 +419,9 @@
                     }
                 }
                 Some(Intake::Cancel(id)) => cancelled.push(id.to_owned()),
-                // Only planners write these, and this one knows what it writes.
-                Some(Intake::Ends(id)) if !self.knows(id) => {
+                Some(Intake::Ends(id)) => {
                     self.load_ends(id, &item);
+                    self.apply_kept_ends(id, now);
                 }
                 _ => {}
             }
@@ -425,8 +439,17 @@
         }
     }
 
-    fn knows(&self, id: &str) -> bool {
-        self.scheduler.has_job(id) || self.scheduler.has_unreadable_job(id)
+    /// Applies the ends that were kept for a job, if it is known.
+    fn apply_kept_ends(&mut self, id: &str, now: Timestamp) {
+        let has_job = self.scheduler.has_job(id);
+        if !has_job && !self.scheduler.has_unreadable_job(id) {
+            return;
+        }
+        let ends = self.kept_ends.remove(id).unwrap_or_default();
+        slog::info!(self.log, "planner: kept ends are taken over";
+            "job" => id, "ends" => ends.len(), "known" => has_job,
+            "token" => self.claim.token);
+        self.scheduler.apply_kept_ends(&ends, now);
     }
 
     fn accept(&mut self, id: &str, value: &[u8], now: Timestamp) {
--- a/src/graph/late_end.rs
+++ b/src/graph/late_end.rs
@@ -39,14 +39,16 @@
             if self.keep_end(&place, ended) {
                 continue;
             }
-            if self.apply_member_end(&place, ended, now) {
-                continue;
+            if !self.apply_member_end(&place, ended, now) {
+                if !is_repeated {
+                    self.record_late_end(&place, ended);
+                    self.adopt_checkpoint(ended);
+                }
+                self.apply_late_end(&place, ended, now);
             }
             if !is_repeated {
-                self.record_late_end(&place, ended);
-                self.adopt_checkpoint(ended);
+                self.note_unwritten(&place, ended);
             }
-            self.apply_late_end(&place, ended, now);
         }
     }
 
@@ -60,12 +62,12 @@
         if self.keep_end(place, ended) {
             return;
         }
-        if self.apply_member_end(place, ended, now) {
-            return;
+        if !self.apply_member_end(place, ended, now) {
+            self.record_late_end(place, ended);
+            self.adopt_checkpoint(ended);
+            self.apply_late_end(place, ended, now);
         }
-        self.record_late_end(place, ended);
-        self.adopt_checkpoint(ended);
-        self.apply_late_end(place, ended, now);
+        self.note_unwritten(place, ended);
     }
 
     /// Applies the end of an active member; returns whether there is one.
--- a/src/graph/mod.rs
+++ b/src/graph/mod.rs
@@ -57,6 +57,7 @@
 mod unit;
 mod unread;
 mod unreadable;
+mod unwritten;
 mod urgency;
 
 pub use advice::Question;
--- a/src/graph/scheduler.rs
+++ b/src/graph/scheduler.rs
@@ -20,6 +20,7 @@
 use crate::graph::unconfirmed::UnconfirmedLoss;
 use crate::graph::unit::StopReason;
 use crate::graph::unreadable::UnreadableJob;
+use crate::graph::unwritten::UnwrittenEnd;
 use crate::graph::AgentId;
 use crate::graph::Decision;
 use crate::graph::JobId;
@@ -215,6 +216,8 @@
     pub(super) unconfirmed: Vec<UnconfirmedLoss>,
     /// The units with ends that are unread.
     pub(super) unread_units: BTreeSet<(JobId, UnitKey)>,
+    /// Ends in progress that is not written yet.
+    pub(super) unwritten_ends: BTreeMap<JobId, Vec<UnwrittenEnd>>,
     /// Queries about agents that are silent.
     pub(super) inquiries: BTreeMap<AgentId, Inquiry>,
     /// Halls that are given no new work.
@@ -258,6 +261,7 @@
             permissions: BTreeMap::new(),
             unconfirmed: Vec::new(),
             unread_units: BTreeSet::new(),
+            unwritten_ends: BTreeMap::new(),
             inquiries: BTreeMap::new(),
             closed_halls: BTreeSet::new(),
             withdrawals: BTreeMap::new(),
@@ -369,6 +373,7 @@
             let agents = unit.members().map(|m| m.place.agent.clone());
             self.agents_to_order.extend(agents);
         }
+        self.drop_written(id, written);
         self.order_acknowledgements(id, written);
         let over = self.jobs.get(id).is_some_and(JobRecord::is_over);
         if over && self.holds_nothing(id) {
@@ -413,6 +418,7 @@
         self.jobs.remove(id);
         self.open_jobs.remove(id);
         self.dirty.remove(id);
+        self.unwritten_ends.remove(id);
         self.permissions.retain(|(job, ..), _| &**job != id);
     }
 
--- a/src/graph/unreadable.rs
+++ b/src/graph/unreadable.rs
@@ -65,6 +65,13 @@
     Nobody,
 }
 
+impl UnreadableJob {
+    /// Returns all kept ends, if not all of them are written.
+    pub fn unwritten(&self) -> Option<&[KeptEnd]> {
+        (self.written < self.version).then_some(&self.ends)
+    }
+}
+
 impl Scheduler {
     /// Adds a job whose records cannot be read, with the ends that were kept
     /// for it. `job` is the job if at least that could be read.
@@ -114,8 +121,9 @@
         job.map(|job| job.ends).unwrap_or_default()
     }
 
-    /// Applies ends that were kept while their job could not be read.
+    /// Applies ends that another planner has kept.
     pub fn apply_kept_ends(&mut self, ends: &[KeptEnd], now: Timestamp) {
+        self.changed |= !ends.is_empty();
         for end in ends {
             self.apply_listed_end(&end.place, &end.ended, now);
         }
--- a/tests/it/unread_records.rs
+++ b/tests/it/unread_records.rs
@@ -1,4 +1,5 @@
-//! Planners that could not read the records, or not all of them.
+//! Planners that could not read the records, or not all of them, or not write
+//! what they have read.
 //!
 //! Guards against ends that are acknowledged although nobody has kept them:
 //! the worker forgets them, and the tasks run again.
@@ -449,3 +450,48 @@
     follow.abort();
     process.planning.abort();
 }
+
+/// The longest time from the store's return to the start of a task that waits
+/// for nothing but an end that was read before.
+const TASK_WAIT: Duration = Duration::from_secs(5);
+
+/// Guards against a job that stands still although its task was done. The
+/// planner had read the end, could not write it while the store was away, and
+/// forgot it with its claim; the agent was taken away with its worker.
+#[tokio::test(start_paused = true)]
+async fn an_end_that_was_read_outlasts_its_planner_and_its_agent() {
+    let store = Memory::default();
+    let mut workers = Site::new(&[("w1", "r1"), ("w2", "r1")]).workers;
+    let (mut other, mut gone) = (workers.remove(1), workers.remove(0));
+    let narrow = job("a");
+    let first = Step {
+        replicas: 1,
+        ..narrow.steps[0].clone()
+    };
+    let second = Step {
+        after: vec![0],
+        ..first.clone()
+    };
+    let steps = vec![first, second];
+    let admission = Admission::new(store.clone(), log::none());
+    let chain = Job { steps, ..narrow };
+    admission.submit(&chain, deadline()).await;
+    let process = Process::start("entry", &store);
+    let until = Instant::now() + LIMIT;
+    while gone.running.is_empty() {
+        assert!(Instant::now() < until, "the task does not start");
+        process.serve(&mut gone).await;
+    }
+    store.reject_calls(u32::MAX);
+    gone.end(RunOutcome::Done, |_| true);
+    process.serve(&mut gone).await;
+    tokio::time::sleep(claim::TTL + CLIENT_TIMEOUT).await;
+    store.reject_calls(0);
+    let until = Instant::now() + TASK_WAIT;
+    while other.running.is_empty() {
+        assert!(Instant::now() < until, "the second step does not start");
+        process.serve(&mut other).await;
+    }
+    assert_eq!(other.started_runs, ["a.0.1.0 1"]);
+    process.planning.abort();
+}
