An odd value for kept ends does not stop a known job

A job would never end after another writer has put an odd value at its kept ends and its record is read again (a listing after dropped history, for instance).

Cause: found by reading the diff; the key that cannot be decoded marked the job as unreadable, and the next reading of its record added it as one beside the known job, so that its ends were kept and not applied.

Change: a record of a known job changes nothing, whatever else is marked.

Evidence: the test fails before (the job has not ended after 60 s). A second new test, a job whose record is repaired while a planner runs, held before too: what was suspected there, versions that are taken for those of the progress, is no fault, as all kept ends are applied before any write.

--- a/src/cell/planner/mod.rs
+++ b/src/cell/planner/mod.rs
@@ -408,11 +408,12 @@
                 }
             };
             match keys::intake(&item.key) {
+                Some(Intake::Job(id)) if self.scheduler.has_job(id) => {}
                 Some(Intake::Job(id)) if self.unreadable.contains(id) => {
                     let job = intake::decode(id, &item.value).ok();
                     self.add_unreadable(id, job.as_ref());
                 }
-                Some(Intake::Job(id)) if !self.scheduler.has_job(id) => {
+                Some(Intake::Job(id)) => {
                     self.accept(id, &item.value, now);
                     if self.cancelled_early.remove(id) {
                         cancelled.push(id.to_owned());
--- a/tests/it/unread_records.rs
+++ b/tests/it/unread_records.rs
@@ -495,3 +495,52 @@
     assert_eq!(other.started_runs, ["a.0.1.0 1"]);
     process.planning.abort();
 }
+
+/// Guards against ends that are dropped, or never acknowledged, as a job's
+/// record is repaired.
+#[tokio::test(start_paused = true)]
+async fn a_job_that_is_repaired_while_a_planner_runs_goes_on() {
+    let (store, mut worker) = site_without_planner().await;
+    let sound = store.value("lv/in/a/job");
+    set(&store, "lv/in/a/job", Some(GARBAGE.to_vec())).await;
+    let process = Process::start("second", &store);
+    while kept(&store) < DONE {
+        process.serve(&mut worker).await;
+    }
+    set(&store, "lv/in/a/job", sound).await;
+    worker.end(RunOutcome::Done, |_| true);
+    let until = Instant::now() + LIMIT;
+    while stored(&store).outcome.is_none() || !worker.ended.is_empty() {
+        assert!(Instant::now() < until, "left: {:?}", worker.ended);
+        process.serve(&mut worker).await;
+        let progress = stored(&store);
+        let done = progress.units.values().filter(|unit| unit.done).count();
+        assert!(worker.acknowledged <= done.max(kept(&store)) as u64);
+    }
+    assert_eq!(worker.started_runs.len(), TASKS);
+    process.planning.abort();
+}
+
+/// Guards against ends that are kept and not applied: an odd value of another
+/// writer among them made a known job count as one that cannot be read.
+#[tokio::test(start_paused = true)]
+async fn an_odd_value_for_kept_ends_does_not_stop_a_known_job() {
+    let (store, mut worker) = site_without_planner().await;
+    let process = Process::start("second", &store);
+    while process.serve(&mut worker).await.is_none() {}
+    set(&store, ENDS_KEY, Some(GARBAGE.to_vec())).await;
+    let job = store.value("lv/in/a/job");
+    set(&store, "lv/in/a/job", job).await;
+    let until = Instant::now() + SERVED;
+    while Instant::now() < until {
+        process.serve(&mut worker).await;
+    }
+    worker.end(RunOutcome::Done, |_| true);
+    let until = Instant::now() + LIMIT;
+    while stored(&store).outcome.is_none() {
+        assert!(Instant::now() < until, "the job does not end");
+        process.serve(&mut worker).await;
+    }
+    assert_eq!(worker.started_runs.len(), TASKS);
+    process.planning.abort();
+}
